--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -80,6 +80,7 @@
   const exchange: GatewayExchange = {
     id,
     requestId: readHeader(request, options.wire.headers.requestId) ?? '',
+    startedAt: options.clock.now(),
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers: listPassedHeaders(request.rawHeaders, true),
--- a/src/runtime/gateway/exchanges.ts
+++ b/src/runtime/gateway/exchanges.ts
@@ -18,6 +18,8 @@
 export type GatewayExchange = {
   id: string
   requestId: string
+  /** When its head had been read, in milliseconds of the process's clock. */
+  startedAt: number
   method: string
   path: string
   headers: HeaderPair[]
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -139,7 +139,11 @@
 
   let end = () => {}
   const stopped = new Promise<void>(resolve => { end = resolve })
-  const close = () => {
+  const close = (reason: 'drained' | 'out-of-time', askedAt: number) => {
+    const now = clock.now()
+    for (const cut of exchanges.values()) {
+      log(runtimeEventNumbers.requestCut, 'requestCut', { requestId: cut.requestId, isSent: cut.sending !== undefined, ageMs: Math.round(now - cut.startedAt) })
+    }
     follower.stop()
     program.stop()
     for (const server of [front.server, probes, admin]) closeServer(server)
@@ -147,7 +151,7 @@
     grants.close()
     exchange.close()
     store.close()
-    log(runtimeEventNumbers.stopped, 'stopped', { host: gateway.name, requests: exchanges.size })
+    log(runtimeEventNumbers.stopped, 'stopped', { host: gateway.name, reason, afterMs: Math.round(now - askedAt), requests: exchanges.size })
     end()
   }
   const stop = () => {
@@ -161,7 +165,7 @@
       front.server.closeIdleConnections()
       if (exchanges.size > 0 && now < endAt) return
       unsubscribe()
-      close()
+      close(exchanges.size === 0 ? 'drained' : 'out-of-time', askedAt)
     })
   }
   return {
--- a/src/runtime/log.ts
+++ b/src/runtime/log.ts
@@ -23,7 +23,8 @@
   storeValueRejected: 3302,
   settingsReloaded: 3303,
   logLinesDropped: 3304,
-  peerCallFailed: 3305
+  peerCallFailed: 3305,
+  requestCut: 3306
 } as const
 
 /** Builds a structured log on standard output, or none; it never blocks and drops what nobody reads. */
