A stopping gateway takes only requests that it can see to their end

Cause: a stop had one phase. It took every request until a look every 50 ms found none in flight, or until its time was up, and then closed everything. Where the balancer goes on sending callers (fewer than half of a zone's hosts ready) such a moment need not come. Class: a stop without an end to admission before its own end.

Ruled out: an end of the process by itself (the times fit the limit only); answers without Connection: close (new connections suffice).

The reducer now decides on a stop (core/gateway/stopping): 'leaving' takes all while the balancer notices, 'finishing' takes what has its deadline before the end and refuses the rest as not run, 'closing' closes connections after their answers, then the process ends. The longest deadline of what was taken bounds the stop, so that nothing is in flight at its end. What still is then gets an answer that says so and a line in the log.

--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -36,6 +36,9 @@
 /** Values that a log line may carry. */
 export type LogValue = string | number | boolean | undefined
 
+/** Why a process ended: every caller had its answer, or its time was up. */
+export type EndReason = 'drained' | 'out-of-time'
+
 /** Everything a gateway can ask its surroundings to do. */
 export type GatewayEffect =
   | { kind: 'send', id: string, attempt: number, backend: string, address: string, timeoutMs: number, mayReuse: boolean, maxIdleMs: number, maxConnections: number }
@@ -57,6 +60,13 @@
   | { kind: 'report-load', address: string, report: LoadReport }
   | { kind: 'publish-placement', change: PlacementChange, host: string | undefined }
   | { kind: 'watch-store', isOn: boolean }
+  /** From now on each answer closes its connection. */
+  | { kind: 'end-keep-alive' }
+  /** Closes the connections of callers that have been used and are idle. */
+  | { kind: 'close-idle-callers' }
+  /** Takes no connection any more and closes each once its answer is written; `callers-closed` follows. */
+  | { kind: 'close-callers' }
+  | { kind: 'end-program', reason: EndReason, afterMs: number }
   | { kind: 'count-refusal', reason: RefusalReason, outcome: 'not-run' | 'unknown' }
   | { kind: 'count-retry', reason: RetryReason }
   | { kind: 'observe-answer', service: string, ms: number }
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -94,4 +94,7 @@
   | { kind: 'fleet-load-read', now: number, load: FleetLoad, reported: Map<string, number> }
   | { kind: 'placement-changed', now: number, change: PlacementChange }
   | { kind: 'exchange-ended', now: number }
-  | { kind: 'stop-asked', now: number }
+  /** The process is to end within `graceMs` milliseconds. */
+  | { kind: 'stop-asked', now: number, graceMs: number }
+  /** The last connection of a caller has closed. */
+  | { kind: 'callers-closed', now: number }
--- a/src/core/gateway/granting.ts
+++ b/src/core/gateway/granting.ts
@@ -3,7 +3,7 @@
 import { addFirstGrant, buildKeptGrant, joinNeighbours, replaceLostTarget, startMove } from './grantChanges.js'
 import { advanceGrant } from './grantSteps.js'
 import { balanceMs, longestSettleMs, mildRoundMs, settleMs, tidyMs } from './limits.js'
-import { isGranting, isPlacing, resignLeadership } from './leadership.js'
+import { isGranting, isPlacing } from './leadership.js'
 import { buildPlannerInput, listCandidates, updateAdmitShares } from './loadExchange.js'
 import { writePlacement } from './placementWriting.js'
 import { planInitial } from './planner.js'
@@ -62,8 +62,3 @@
   const { state } = work
   return state.now - (state.listedAt.get(service) ?? state.now) > settleMs || state.now - state.granting.ledSince > longestSettleMs
 }
-
-/** Stops granting at an orderly stop. */
-export function stopGranting (work: GatewayWork): void {
-  resignLeadership(work)
-}
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -34,7 +34,7 @@
     if (now - granting.claimAskedAt > claimTimeoutMs) granting.role = 'follower'
     return
   }
-  if (state.stopping || !state.storeUp || !state.storeSynced || state.grantingHost !== undefined || !hasShardedService(work)) {
+  if (state.stop.phase !== 'serving' || !state.storeUp || !state.storeSynced || state.grantingHost !== undefined || !hasShardedService(work)) {
     granting.claimAt = undefined
     return
   }
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -4,7 +4,7 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { applyAbsence, applyRegistration, endLapsed } from './backends.js'
-import { advanceGranting, stopGranting } from './granting.js'
+import { advanceGranting } from './granting.js'
 import { applyGrantResult, applyReleaseResult } from './grantSteps.js'
 import { advanceLeadership, applyClaim, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
 import { quietTickMs, shortestLapseMs } from './limits.js'
@@ -14,6 +14,7 @@
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
 import { acceptRequest, advanceWaiting, dropOldFences } from './placing.js'
 import { buildRouteIndex } from './routing.js'
+import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
 /** The reducer of a gateway: every decision on requests, keys and leadership is made here. */
 export function reduceGateway (state: GatewayState, event: GatewayEvent, rules: GatewayRules): Step<GatewayState, GatewayEffect> {
@@ -53,7 +54,8 @@
     case 'fleet-load-read': return handleFleetLoad(work, event)
     case 'placement-changed': return handlePlacementChange(work, event.change, rules)
     case 'exchange-ended': return handleExchangeEnd(work)
-    case 'stop-asked': return stopGateway(work)
+    case 'stop-asked': return startStop(work, event.graceMs)
+    case 'callers-closed': return handleCallersClosed(work)
   }
 }
 
@@ -64,7 +66,7 @@
 
 /** Whether a tick can change anything now: a quiet host needs few, and each one costs processor time. */
 export function isTickDue (state: GatewayState, now: number, tickedAt: number): boolean {
-  const isBusy = state.granting.role !== 'follower' || state.grantingHost === undefined || state.waiting.size > 0 || state.stopping
+  const isBusy = state.granting.role !== 'follower' || state.grantingHost === undefined || state.waiting.size > 0 || state.stop.phase !== 'serving'
   return isBusy || now >= state.reportAt || now - tickedAt >= quietTickMs
 }
 
@@ -77,6 +79,7 @@
   advanceReport(work)
   advanceFollowing(work)
   dropOldFences(work)
+  advanceStop(work)
 }
 
 function applyConfiguration (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'configuration-read' }>): void {
@@ -137,16 +140,9 @@
   work.effects.push({ kind: 'log', event: 'storeLost', fields: { configuration: work.state.configuration?.version, placement: work.state.placementVersion.revision } })
 }
 
-function stopGateway (work: GatewayWork): void {
-  if (work.state.stopping) return
-  work.state.stopping = true
-  work.effects.push({ kind: 'log', event: 'gatewayStopping', fields: { requests: work.state.requests.size } })
-  stopGranting(work)
-}
-
 /** Whether the platform may send callers here. */
 export function isGatewayReady (state: GatewayState): boolean {
-  if (state.stopping || state.configuration === undefined || !state.storeSynced) return false
+  if (state.stop.phase !== 'serving' || state.configuration === undefined || !state.storeSynced) return false
   for (const service of state.configuration.services.values()) {
     const hasBackends = (state.backendsByService.get(service.name)?.size ?? 0) > 0
     if (service.sharded && hasBackends && state.placement?.services.get(service.name) === undefined) return false
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -1,7 +1,9 @@
 import type { GatewayEffect } from './effects.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, KeyRange, Placement, PlacementVersion } from './model.js'
+import type { GatewayStop } from './stop.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { buildStop } from './stop.js'
 
 /** Who this host is; `processorShare` in cores. */
 export type GatewayIdentity = { host: string, zone: string, region: string, regionOf: Map<string, string>, address: string, processorShare: number }
@@ -138,7 +140,7 @@
   now: number
   wall: number
   random: RandomGenerator
-  stopping: boolean
+  stop: GatewayStop
   storeSynced: boolean
   storeUp: boolean
   /** Since when the store has given no word. */
@@ -197,7 +199,7 @@
     now,
     wall: 0,
     random: xoroshiro128plus(seed),
-    stopping: false,
+    stop: buildStop(),
     storeSynced: false,
     storeUp: false,
     storeLostAt: -Infinity,
--- /dev/null
+++ b/src/core/gateway/stop.ts
@@ -0,0 +1,22 @@
+/** Time kept between the deadline of a request and the end, in milliseconds: ticks, and the way of an answer to its caller. */
+const lastAnswerMs = 200
+
+/**
+ * How far an orderly stop has come: `leaving` takes every request, `finishing` only those
+ * whose deadline passes before the end, `closing` none.
+ */
+export type StopPhase = 'serving' | 'leaving' | 'finishing' | 'closing' | 'stopped'
+
+/** Progress of an orderly stop; times in milliseconds of the steady clock. */
+export type GatewayStop = { phase: StopPhase, askedAt: number, noticeEndsAt: number, endAt: number }
+
+/** Builds the state of a host that nobody asked to stop. */
+export function buildStop (): GatewayStop {
+  return { phase: 'serving', askedAt: Infinity, noticeEndsAt: Infinity, endAt: Infinity }
+}
+
+/** Whether a stopping host can still see a request to its end. */
+export function canFinishBeforeStop (stop: GatewayStop, deadlineAt: number): boolean {
+  if (stop.phase === 'serving' || stop.phase === 'leaving') return true
+  return stop.phase === 'finishing' && deadlineAt + lastAnswerMs <= stop.endAt
+}
--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -2,7 +2,7 @@
 import type { GatewayEvent, RequestHead } from '../../core/gateway/events.js'
 import type { CallerLimits } from '../../core/gateway/model.js'
 import type { RefusalReason } from '../../core/domain/outcome.js'
-import type { Clock } from '../clock.js'
+import type { TimerService } from '../timerService.js'
 import type { GatewayExchange, GatewayExchanges } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
 import { createServer } from 'node:http'
@@ -17,7 +17,7 @@
 
 /** What the front needs. */
 export type CallerFrontOptions = {
-  clock: Clock
+  timers: TimerService
   wire: GatewayWire
   exchanges: GatewayExchanges
   post: (event: GatewayEvent) => boolean
@@ -29,7 +29,11 @@
   server: Server
   setLimits: (limits: CallerLimits) => void
   /** From now on each answer closes its connection. */
-  stopKeeping: () => void
+  endKeepAlive: () => void
+  /** Closes the connections that are idle. */
+  closeIdle: () => void
+  /** Takes no connection any more; calls `then` when the last has closed. */
+  close: (then: () => void) => void
   deliver: (exchange: GatewayExchange) => void
   refuse: (exchange: GatewayExchange, refusal: { reason: RefusalReason, status: number, retryAfterMs: number | undefined }) => void
 }
@@ -44,7 +48,8 @@
   server.requestTimeout = 0
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     requests += 1
-    acceptCaller(`${requests}`, request, response, options, { maxBodyBytes, maxHeaderBytes, isClosing: () => closing })
+    const id = `${requests}`
+    acceptCaller(id, request, response, options, { maxBodyBytes, maxHeaderBytes, isClosing: () => closing })
   })
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
     response.writeContinue()
@@ -65,7 +70,9 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
     },
-    stopKeeping: () => { closing = true },
+    endKeepAlive: () => { closing = true },
+    closeIdle: () => { server.closeIdleConnections() },
+    close: then => { server.close(() => then()) },
     deliver: exchange => deliverAnswer(exchange, options, closing),
     refuse: (exchange, refusal) => writeRefusal(exchange, refusal, options, closing)
   }
@@ -80,7 +87,7 @@
   const exchange: GatewayExchange = {
     id,
     requestId: readHeader(request, options.wire.headers.requestId) ?? '',
-    startedAt: options.clock.now(),
+    startedAt: options.timers.clock.now(),
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers: listPassedHeaders(request.rawHeaders, true),
@@ -94,7 +101,7 @@
   response.on('close', () => {
     if (!options.exchanges.delete(id)) return
     exchange.sending?.cancel()
-    options.post({ kind: 'caller-gone', now: options.clock.now(), id })
+    options.post({ kind: 'caller-gone', now: options.timers.clock.now(), id })
   })
   const refuse = (reason: RefusalReason, status: number) => {
     options.countRefusal(reason)
@@ -108,7 +115,7 @@
     if (state === 'oversized') return refuse('oversized', 413)
     exchange.first = part
     exchange.rest = state === 'whole' ? undefined : request
-    const posted = options.post({ kind: 'request-arrived', now: options.clock.now(), id, head: readHead(exchange, options.wire) })
+    const posted = options.post({ kind: 'request-arrived', now: options.timers.clock.now(), id, head: readHead(exchange, options.wire) })
     if (!posted) writeRefusal(exchange, { reason: 'not-ready', status: 503, retryAfterMs: 500 }, options, acceptance.isClosing())
   })
 }
@@ -222,7 +229,7 @@
     if (isWhole) response.end()
     else response.socket?.resetAndDestroy()
     const { attempt } = exchange.sending ?? { attempt: 0 }
-    const now = options.clock.now()
+    const now = options.timers.clock.now()
     options.post(isWhole
       ? { kind: 'answer-whole', now, id: exchange.id, attempt, status: answer.status, firstByteAt: now }
       : { kind: 'answer-cut', now, id: exchange.id, attempt })
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http'
-import type { GatewayEffect } from '../../core/gateway/effects.js'
+import type { EndReason, GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent } from '../../core/gateway/events.js'
 import type { GatewayRules } from '../../core/gateway/rules.js'
 import type { GatewayState } from '../../core/gateway/state.js'
@@ -30,12 +30,8 @@
 import { readGatewayStatus } from './gatewayStatus.js'
 import { followStore } from './storeFollower.js'
 
-/** Time after a stop was asked for at which idle connections are closed, in milliseconds: the balancer needs two probes. */
-const closeIdleAfterMs = 2600
-/** Time before the end of the grace at which the process ends, in milliseconds. */
-const endBeforeGraceMs = 400
-/** Time between two looks at whether a stopping gateway is done, in milliseconds. */
-const stopCheckMs = 50
+/** Delay before a stop that found the queue of events full is asked for again, in milliseconds. */
+const stopAgainMs = 50
 
 /** What a gateway is made of besides its settings. */
 export type GatewayParts = { store: MetadataStore, wire: GatewayWire, timers: TimerService, rules: GatewayRules, log: LogEvent }
@@ -79,7 +75,7 @@
       gateway_placement_revision: now.placementVersion.revision
     }
   })
-  const front = createCallerFront({ clock, wire, exchanges, post, countRefusal: reason => metrics.countRefusal(reason, 'not-run') })
+  const front = createCallerFront({ timers, wire, exchanges, post, countRefusal: reason => metrics.countRefusal(reason, 'not-run') })
   const sender = createBackendSender({ wire, timers, post })
   const grants = createGrantCaller(wire, timers)
   const peerCredentials = settings.tls === undefined
@@ -106,7 +102,7 @@
     countRejected: metrics.countRejectedValue,
     relay: exchange.relay
   })
-  const interpreters = { identity, clock, exchanges, front, sender, grants, exchange, store, wire, follower, metrics, post, log: createLogBudget(clock, log) }
+  const interpreters = { identity, clock, exchanges, front, sender, grants, exchange, store, wire, follower, metrics, post, log: createLogBudget(clock, log), end: (reason: EndReason, afterMs: number) => close(reason, afterMs) }
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => reduceGateway(current, event, parts.rules),
@@ -139,10 +135,9 @@
 
   let end = () => {}
   const stopped = new Promise<void>(resolve => { end = resolve })
-  const close = (reason: 'drained' | 'out-of-time', askedAt: number) => {
-    const now = clock.now()
+  const close = (reason: EndReason, afterMs: number) => {
     for (const cut of exchanges.values()) {
-      log(runtimeEventNumbers.requestCut, 'requestCut', { requestId: cut.requestId, isSent: cut.sending !== undefined, ageMs: Math.round(now - cut.startedAt) })
+      log(runtimeEventNumbers.requestCut, 'requestCut', { requestId: cut.requestId, isSent: cut.sending !== undefined, ageMs: Math.round(clock.now() - cut.startedAt) })
     }
     follower.stop()
     program.stop()
@@ -151,22 +146,12 @@
     grants.close()
     exchange.close()
     store.close()
-    log(runtimeEventNumbers.stopped, 'stopped', { host: gateway.name, reason, afterMs: Math.round(now - askedAt), requests: exchanges.size })
+    log(runtimeEventNumbers.stopped, 'stopped', { host: gateway.name, reason, afterMs: Math.round(afterMs), requests: exchanges.size })
     end()
   }
   const stop = () => {
-    const askedAt = clock.now()
-    post({ kind: 'stop-asked', now: askedAt })
-    front.stopKeeping()
-    const endAt = askedAt + gateway['grace-ms'] - endBeforeGraceMs
-    timers.schedule(closeIdleAfterMs, () => front.server.closeIdleConnections())
-    const unsubscribe = timers.subscribe(stopCheckMs, now => {
-      if (now < askedAt + closeIdleAfterMs + stopCheckMs) return
-      front.server.closeIdleConnections()
-      if (exchanges.size > 0 && now < endAt) return
-      unsubscribe()
-      close(exchanges.size === 0 ? 'drained' : 'out-of-time', askedAt)
-    })
+    if (post({ kind: 'stop-asked', now: clock.now(), graceMs: gateway['grace-ms'] })) return
+    timers.schedule(stopAgainMs, stop)
   }
   return {
     kind: 'started',
--- a/src/runtime/gateway/gatewayStatus.ts
+++ b/src/runtime/gateway/gatewayStatus.ts
@@ -5,7 +5,7 @@
   return {
     host: state.identity.host,
     zone: state.identity.zone,
-    stopping: state.stopping,
+    stopping: state.stop.phase !== 'serving',
     storeUp: state.storeUp,
     configuration: { version: state.configuration?.version, revision: state.configurationRevision },
     placement: {
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -1,4 +1,4 @@
-import type { GatewayEffect } from '../../core/gateway/effects.js'
+import type { EndReason, GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent } from '../../core/gateway/events.js'
 import type { GatewayIdentity } from '../../core/gateway/state.js'
 import type { Clock } from '../clock.js'
@@ -30,6 +30,8 @@
   metrics: GatewayMetrics
   post: (event: GatewayEvent) => boolean
   log: ReturnType<typeof createLogBudget>
+  /** Ends the process. */
+  end: (reason: EndReason, afterMs: number) => void
 }
 
 /** Carries out one effect of the reducer. */
@@ -51,6 +53,10 @@
     case 'report-load': return parts.exchange.report(effect.address, effect.report)
     case 'publish-placement': return parts.exchange.publish(effect.change, effect.host)
     case 'watch-store': return parts.follower.setWatching(effect.isOn)
+    case 'end-keep-alive': return parts.front.endKeepAlive()
+    case 'close-idle-callers': return parts.front.closeIdle()
+    case 'close-callers': return parts.front.close(() => { parts.post({ kind: 'callers-closed', now: parts.clock.now() }) })
+    case 'end-program': return parts.end(effect.reason, effect.afterMs)
     case 'count-refusal': return parts.metrics.countRefusal(effect.reason, effect.outcome)
     case 'count-retry': return parts.metrics.countRetry(effect.reason)
     case 'observe-answer': return parts.metrics.observeAnswer(effect.service, effect.ms)
