A stop closes a caller's connection only after the last byte of its answer is written

Node.js counts an answer as ended when its last byte is buffered, and closeIdleConnections, close and closeAllConnections then destroy its connection. A caller that reads slowly, or a link with small windows, gets a cut answer.

callerConnections follows each connection from its opening to the close of its last answer.

--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -5,8 +5,10 @@
 import type { TimerService } from '../timerService.js'
 import type { GatewayExchange, GatewayExchanges } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
+import type { CallerConnections } from './callerConnections.js'
 import { createServer } from 'node:http'
 import { formatHeaders, listPassedHeaders, readInto } from '../exchange.js'
+import { followCallerConnections } from './callerConnections.js'
 
 /** Part of a body that is buffered before routing, in bytes; a smaller body can be sent again. */
 const bufferedBodyBytes = 512 * 1024
@@ -30,10 +32,8 @@
   setLimits: (limits: CallerLimits) => void
   /** From now on each answer closes its connection. */
   endKeepAlive: () => void
-  /** Closes the connections that are idle. */
-  closeIdle: () => void
-  /** Takes no connection any more; calls `then` when the last has closed. */
-  close: (then: () => void) => void
+  closeIdle: CallerConnections['closeIdle']
+  close: CallerConnections['close']
   deliver: (exchange: GatewayExchange) => void
   refuse: (exchange: GatewayExchange, refusal: { reason: RefusalReason, status: number, retryAfterMs: number | undefined }) => void
 }
@@ -46,9 +46,11 @@
   let maxHeaderBytes = maxHeadBytes
   const server = createServer({ maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: slowCallerCheckMs })
   server.requestTimeout = 0
+  const connections = followCallerConnections(server, options.timers)
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     requests += 1
     const id = `${requests}`
+    connections.take(request, response)
     acceptCaller(id, request, response, options, { maxBodyBytes, maxHeaderBytes, isClosing: () => closing })
   })
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
@@ -71,8 +73,8 @@
       server.keepAliveTimeout = limits.idleTimeoutMs
     },
     endKeepAlive: () => { closing = true },
-    closeIdle: () => { server.closeIdleConnections() },
-    close: then => { server.close(() => then()) },
+    closeIdle: connections.closeIdle,
+    close: connections.close,
     deliver: exchange => deliverAnswer(exchange, options, closing),
     refuse: (exchange, refusal) => writeRefusal(exchange, refusal, options, closing)
   }
--- a/tests/gatewayStops.spec.ts
+++ b/tests/gatewayStops.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { connect } from 'node:net'
 import { callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
 /** Time between two callers that come to a stopping host, in milliseconds. */
@@ -31,3 +32,48 @@
   t.deepEqual(results.filter(result => result.status === 503 && ran.has(result.requestId)), [])
   t.true(results.some(result => result.status === 503))
 })
+
+/** Length of each answer to a caller that reads slowly, in bytes: below what is passed on in parts. */
+const slowAnswerBytes = 250_000
+/** Requests of this caller on one connection: their answers fill the buffers of a loopback connection. */
+const slowRequests = 60
+/** Time that this caller does not read, in milliseconds: beyond the moment at which idle connections close. */
+const unreadMs = 3000
+
+test('a stop cuts no answer whose last bytes its caller has not read yet', async t => {
+  const fleet = await startPlatformFleet({ gateways: 1, shards: 0, plain: 4 })
+  t.teardown(fleet.stop)
+  for (const backend of fleet.plain) backend.faults.answerBytes = slowAnswerBytes
+  const gateway = fleet.gateways[0]
+  if (gateway === undefined) return t.fail('no gateway')
+  const caller = openCaller(gateway.addresses.callers)
+  t.teardown(() => caller.socket.destroy())
+  caller.socket.pause()
+  caller.socket.write(Array.from({ length: slowRequests }, (_, index) => buildRequest(`slow-${index}`, 3000)).join(''))
+  await new Promise(resolve => setTimeout(resolve, 500))
+  gateway.stop()
+  await new Promise(resolve => setTimeout(resolve, unreadMs))
+  caller.socket.resume()
+  await caller.closed
+  const answers = caller.text().split('HTTP/1.1 ').slice(1).map(answer => ({ status: answer.slice(0, 3), bytes: answer.length - answer.indexOf('\r\n\r\n') - 4 }))
+  const served = answers.filter(answer => answer.status === '200')
+  t.deepEqual(served.filter(answer => answer.bytes !== slowAnswerBytes), [])
+  t.is(served.length, fleet.plain.reduce((sum, backend) => sum + backend.runs.length, 0))
+  t.true(served.length > 0)
+  await gateway.stopped
+})
+
+function buildRequest (requestId: string, timeoutMs: number): string {
+  return `POST /photos/1 HTTP/1.1\r\nHost: shop.test\r\nRequest-Id: ${requestId}\r\nDeadline-Ms: ${timeoutMs}\r\nContent-Length: 1\r\n\r\na`
+}
+
+/** Opens a plain connection of a caller and collects what comes back. */
+function openCaller (address: string) {
+  const [host, port] = address.split(':')
+  const socket = connect(Number(port), host)
+  const parts: Buffer[] = []
+  socket.on('data', (part: Buffer) => parts.push(part))
+  socket.on('error', () => {})
+  const closed = new Promise<void>(resolve => socket.on('close', () => resolve()))
+  return { socket, closed, text: () => Buffer.concat(parts).toString('latin1') }
+}
