Take a pipelined request only when the one before it has its answer

A request behind one whose answer closes the connection (at a stop, or after a refusal of an unread body) was passed on to a backend server, and its caller got nothing. The test sends two at once to a stopping host: before, both ran and one was answered. Now the second is not taken, so that its caller may send it again elsewhere.

--- a/src/runtime/gateway/callerConnections.ts
+++ b/src/runtime/gateway/callerConnections.ts
@@ -8,15 +8,15 @@
 
 /** Connections of callers, from their opening to the last byte of the last answer. */
 export type CallerConnections = {
-  /** Follows a request until its answer is written. */
-  take: (request: IncomingMessage, response: ServerResponse) => void
+  /** Takes a request when the one before it on the same connection has been answered. */
+  take: (request: IncomingMessage, response: ServerResponse, accept: () => void) => void
   /** Closes the connections that have been used and are idle. */
   closeIdle: () => void
   /** Opens none any more and closes each once its answers are written; calls `then` after the last. */
   close: (then: () => void) => void
 }
 
-type Connection = { answering: number, isUsed: boolean }
+type Connection = { answering: boolean, isUsed: boolean, next: Array<() => void> }
 
 /**
  * Follows the connections of a server. Node.js counts an answer as ended when its last byte
@@ -33,28 +33,37 @@
   }
   const closeWhere = (isDue: (connection: Connection) => boolean) => {
     for (const [socket, connection] of connections) {
-      if (connection.answering === 0 && isDue(connection)) socket.destroy()
+      if (!connection.answering && isDue(connection)) socket.destroy()
     }
   }
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, { answering: 0, isUsed: false })
+    connections.set(socket, { answering: false, isUsed: false, next: [] })
     socket.on('close', () => {
       connections.delete(socket)
       checkClosed()
     })
   })
   const endAnswer = (socket: Socket, connection: Connection) => {
-    connection.answering -= 1
-    if (isClosing && connection.answering === 0) socket.destroy()
+    connection.answering = false
+    // What came behind an answer that closes the connection was not read, as far as the caller can tell.
+    if (socket.destroyed || socket.writableEnded) return
+    const accept = connection.next.shift()
+    if (accept !== undefined) return start(connection, accept)
+    if (isClosing) socket.destroy()
+  }
+  const start = (connection: Connection, accept: () => void) => {
+    connection.answering = true
+    connection.isUsed = true
+    accept()
   }
   return {
-    take: (request, response) => {
+    take: (request, response, accept) => {
       const { socket } = request
       const connection = connections.get(socket)
-      if (connection === undefined) return
-      connection.answering += 1
-      connection.isUsed = true
+      if (connection === undefined) return accept()
       response.on('close', () => endAnswer(socket, connection))
+      if (connection.answering) connection.next.push(accept)
+      else start(connection, accept)
     },
     closeIdle: () => closeWhere(connection => connection.isUsed),
     close: then => {
--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -50,8 +50,7 @@
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     requests += 1
     const id = `${requests}`
-    connections.take(request, response)
-    acceptCaller(id, request, response, options, { maxBodyBytes, maxHeaderBytes, isClosing: () => closing })
+    connections.take(request, response, () => acceptCaller(id, request, response, options, { maxBodyBytes, maxHeaderBytes, isClosing: () => closing }))
   })
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
     response.writeContinue()
--- a/tests/gatewayStops.spec.ts
+++ b/tests/gatewayStops.spec.ts
@@ -63,6 +63,22 @@
   await gateway.stopped
 })
 
+test('a request that came behind one whose answer closes the connection does not run', async t => {
+  const fleet = await startPlatformFleet({ gateways: 1, shards: 0, plain: 1 })
+  t.teardown(fleet.stop)
+  const [backend] = fleet.plain
+  const gateway = fleet.gateways[0]
+  if (backend === undefined || gateway === undefined) return t.fail('nothing started')
+  backend.faults.workMs = 100
+  gateway.stop()
+  await waitFor(() => gateway.getState().stop.phase === 'leaving', 1000)
+  const caller = openCaller(gateway.addresses.callers)
+  caller.socket.write(buildRequest('first', 1000) + buildRequest('second', 1000))
+  await caller.closed
+  t.is(caller.text().match(/HTTP\/1.1 200/g)?.length, 1)
+  t.deepEqual(backend.runs.map(run => run.requestId), ['first'])
+})
+
 function buildRequest (requestId: string, timeoutMs: number): string {
   return `POST /photos/1 HTTP/1.1\r\nHost: shop.test\r\nRequest-Id: ${requestId}\r\nDeadline-Ms: ${timeoutMs}\r\nContent-Length: 1\r\n\r\na`
 }
