A granting host that is asked to stop renews until the store can name another

Callers got 503 for all keys from 2.8 s after SIGTERM of the granting host while the store was silent: it gave up its lease at once, nobody could win the next one, and the grants ran out. Same class: a stop that drops what others rely on before somebody else can take it.

The stop now asks the store first and gives the lease back when it has answered a call made since. Until then the host renews, as in any outage, and the process does not end before its time. A lease won by a claim under way when the stop was asked for is given back too.

--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -169,10 +169,16 @@
   work.effects.push({ kind: 'log', event: 'leadershipLost', fields: { reason } })
 }
 
-/** Hands leadership over at an orderly stop. */
-export function resignLeadership (work: GatewayWork): void {
-  const { granting } = work.state
-  if (granting.role !== 'leading') return
+/** Asks the store at the start of an orderly stop whether it answers. */
+export function startResignation (work: GatewayWork): void {
+  work.state.granting.renewAt = work.state.now
+  advanceLeadership(work)
+}
+
+/** Hands leadership over once the store has answered since the stop was asked for: while it is silent nobody else can grant. */
+export function advanceResignation (work: GatewayWork): void {
+  const { granting, stop } = work.state
+  if (granting.role !== 'leading' || granting.confirmedAt < stop.askedAt) return
   work.effects.push({ kind: 'end-lease', lease: granting.lease })
   endLeadership(work, 'stopping')
 }
--- a/src/core/gateway/stopping.ts
+++ b/src/core/gateway/stopping.ts
@@ -1,6 +1,6 @@
 import type { EndReason } from './effects.js'
 import type { GatewayRequest, GatewayWork } from './state.js'
-import { resignLeadership } from './leadership.js'
+import { advanceResignation, startResignation } from './leadership.js'
 import { failRequest, refuseRequest } from './refusals.js'
 
 /** Time for which a stopping host takes all requests, in milliseconds: the balancer leaves it after two probes, a second apart. */
@@ -22,7 +22,7 @@
   }
   work.effects.push({ kind: 'log', event: 'gatewayStopping', fields: { requests: state.requests.size, graceMs } })
   work.effects.push({ kind: 'end-keep-alive' })
-  resignLeadership(work)
+  startResignation(work)
 }
 
 /** Moves an orderly stop on: the balancer leaves, requests end, connections close, the process ends. */
@@ -31,11 +31,13 @@
   const { stop } = state
   if (stop.phase === 'serving' || stop.phase === 'stopped') return
   if (state.now >= stop.endAt) return endOutOfTime(work)
+  advanceResignation(work)
   if (stop.phase === 'leaving' && state.now >= stop.noticeEndsAt) {
     stop.phase = 'finishing'
     work.effects.push({ kind: 'close-idle-callers' })
   }
-  if (stop.phase !== 'finishing' || state.requests.size > 0) return
+  // Grants that nobody else can renew are work in progress too.
+  if (stop.phase !== 'finishing' || state.requests.size > 0 || state.granting.role === 'leading') return
   stop.phase = 'closing'
   work.effects.push({ kind: 'close-callers' })
 }
--- a/tests/gatewayStops.spec.ts
+++ b/tests/gatewayStops.spec.ts
@@ -63,6 +63,30 @@
   await gateway.stopped
 })
 
+/** Time between two lookups, in milliseconds. */
+const lookupGapMs = 50
+/** Time for which they go on after the stop of the granting host was asked for, in milliseconds: longer than a grant holds, shorter than the stop. */
+const lookupsForMs = 3400
+
+test('keys keep their owners while the granting host stops and the store can name no other', async t => {
+  const fleet = await startPlatformFleet({ gateways: 3, shards: 4, plain: 0 })
+  t.teardown(fleet.stop)
+  const granting = fleet.gateways.find(gateway => gateway.getState().granting.role === 'leading')
+  const other = fleet.gateways.find(gateway => gateway !== granting)
+  if (granting === undefined || other === undefined) return t.fail('no granting host')
+  fleet.store.faults.down = 'silent'
+  granting.stop()
+  const lookups: Array<ReturnType<typeof callGateway>> = []
+  for (let passedMs = 0; passedMs < lookupsForMs; passedMs += lookupGapMs) {
+    lookups.push(callGateway(other.addresses.callers, { path: '/reads/1', key: (passedMs * 977) % 65_536 }))
+    await new Promise(resolve => setTimeout(resolve, lookupGapMs))
+  }
+  const results = await Promise.all(lookups)
+  t.deepEqual(results.filter(result => result.status !== 200).map(result => `${result.status} ${result.body}`), [])
+  fleet.store.faults.down = 'no'
+  await granting.stopped
+})
+
 test('a request that came behind one whose answer closes the connection does not run', async t => {
   const fleet = await startPlatformFleet({ gateways: 1, shards: 0, plain: 1 })
   t.teardown(fleet.stop)
