Say 502, not 503, of a request that an earlier sending may have run

The request now remembers that a sending ended without word, and fails instead. gatewayAnswers: 503 before, 502 now.

--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -49,6 +49,7 @@
   if (event.failure === 'connection-refused' || event.failure === 'connect-failed') {
     return retryOrRefuse(work, request, 'backend-unreachable', 'backend-unreachable', rules)
   }
+  request.mayHaveRun = true
   const reason = event.failure === 'malformed' || event.failure === 'wrong-request' ? 'backend-rubbish' : 'backend-failed'
   if (!request.route.idempotent) return failRequest(work, request, reason, 502)
   if (!isRetryWorthwhile(work, request) || !takeRetry(work.state, request.service)) return failRequest(work, request, reason, 502)
--- a/src/core/gateway/placing.ts
+++ b/src/core/gateway/placing.ts
@@ -46,6 +46,7 @@
     targetAt: event.now + route.targetMs - (longest - callerMs),
     bodyBytes: head.bodyBytes,
     replayable: head.replayable,
+    mayHaveRun: false,
     phase: 'waiting',
     waitingUntil: event.now + ownerWaitMs,
     attempt: 0,
--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -21,8 +21,9 @@
   })
 }
 
-/** Tells a caller that its request did not run, and when to come back. */
+/** Tells a caller that its request did not run, and when to come back; one that an earlier sending may have run fails instead. */
 export function refuseRequest (work: GatewayWork, request: GatewayRequest, reason: RefusalReason, waitMs: number): void {
+  if (request.mayHaveRun) return failRequest(work, request, reason, 502)
   const { state } = work
   state.requests.delete(request.id)
   state.waiting.delete(request.id)
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -22,6 +22,8 @@
   targetAt: number
   bodyBytes: number
   replayable: boolean
+  /** Whether a sending ended without word on whether the backend server ran it. */
+  mayHaveRun: boolean
   phase: 'waiting' | 'sent' | 'answering'
   waitingUntil: number
   attempt: number
--- a/tests/gatewayAnswers.spec.ts
+++ b/tests/gatewayAnswers.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
+import { buildConfiguration, callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
 test('a lookup whose answer is cut, garbled, reset or another\'s is asked again and answered whole', async t => {
   const fleet = await startPlatformFleet({ gateways: 1, shards: 1, plain: 0 })
@@ -115,3 +115,18 @@
   const ran = new Set(fleet.plain.flatMap(each => each.runs.map(run => run.requestId)))
   t.true(refused.every(result => !ran.has(result.requestId)))
 })
+
+test('a request that may be repeated and has run is not answered with the promise that it has not', async t => {
+  const fleet = await startPlatformFleet({ gateways: 1, shards: 0, plain: 1 })
+  t.teardown(fleet.stop)
+  const [backend] = fleet.plain
+  const [gateway] = fleet.gateways
+  if (backend === undefined || gateway === undefined) return t.fail('nothing started')
+  const looks = { host: 'shop.test', path_prefix: '/looks/', kind: 'safe', timeout_s: 2, target_latency_s: 0.5, priority: 0, service: 'plain', max_attempts: 2 }
+  fleet.store.put('op/config', buildConfiguration(2, { looks }))
+  await waitFor(() => gateway.getState().configuration?.version === 2, 3000)
+  backend.faults.next.push('reset')
+  const result = await callGateway(gateway.addresses.callers, { path: '/looks/1' })
+  t.is(backend.runs.length, 1)
+  t.is(result.status, 502, result.body)
+})
