Put a configuration's limits for callers into force with the configuration, by the reducer

An older configuration that the reducer ignores still set the limits of callers: the runtime took them from each one read (found by the review of the stop). set-caller-limits is an effect now.

--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -1,6 +1,6 @@
 import type { RefusalReason, RetryReason } from '../domain/outcome.js'
 import type { LoadReport } from './events.js'
-import type { GrantingRecord, Placement, PlacementChange } from './model.js'
+import type { CallerLimits, GrantingRecord, Placement, PlacementChange } from './model.js'
 
 /** Numbers of log events; docs/EVENTS.md lists what each means. */
 export const gatewayEventNumbers = {
@@ -60,6 +60,7 @@
   | { kind: 'report-load', address: string, report: LoadReport }
   | { kind: 'publish-placement', change: PlacementChange, host: string | undefined }
   | { kind: 'watch-store', isOn: boolean }
+  | { kind: 'set-caller-limits', limits: CallerLimits }
   /** From now on each answer closes its connection. */
   | { kind: 'end-keep-alive' }
   /** Closes the connections of callers that have been used and are idle. */
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -94,6 +94,7 @@
   state.configuration = configuration
   state.configurationRevision = revision
   state.routesByHost = buildRouteIndex(configuration)
+  work.effects.push({ kind: 'set-caller-limits', limits: configuration.limits })
   work.effects.push({ kind: 'log', event: 'configurationInForce', fields: { version: configuration.version, revision, routes: configuration.routes.length } })
 }
 
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -94,10 +94,7 @@
     store,
     wire,
     timers,
-    post: event => {
-      if (event.kind === 'configuration-read') front.setLimits(event.configuration.limits)
-      return post(event)
-    },
+    post,
     log,
     countRejected: metrics.countRejectedValue,
     relay: exchange.relay
--- a/tests/gatewayStops.spec.ts
+++ b/tests/gatewayStops.spec.ts
@@ -4,15 +4,15 @@
 
 /** Time between two callers that come to a stopping host, in milliseconds. */
 const callerGapMs = 10
-/** Time that a backend server works on a request, in milliseconds: longer than several gaps, so that something is always in flight. */
-const workMs = 80
+/** Time that the backend servers work on a request, in milliseconds: longer than several gaps, so that something is always in flight, and up to nearly the deadline. */
+const workMs = [80, 120, 300, 460]
 /** Time that each caller waits, in milliseconds. */
 const callerTimeoutMs = 500
 
 test('a stop cuts no request, though callers come on new connections until the process has ended', async t => {
   const fleet = await startPlatformFleet({ gateways: 1, shards: 0, plain: 4 })
   t.teardown(fleet.stop)
-  for (const backend of fleet.plain) backend.faults.workMs = workMs
+  for (const [index, backend] of fleet.plain.entries()) backend.faults.workMs = workMs[index] ?? 0
   const gateway = fleet.gateways[0]
   if (gateway === undefined) return t.fail('no gateway')
   let isStopped = false
@@ -31,6 +31,8 @@
   t.deepEqual(cut.map(result => result.status), [])
   t.deepEqual(results.filter(result => result.status === 503 && ran.has(result.requestId)), [])
   t.true(results.some(result => result.status === 503))
+  const stopped = fleet.events.find(event => event.msg === 'stopped')
+  t.is(stopped?.fields.reason, 'drained')
 })
 
 /** Length of each answer to a caller that reads slowly, in bytes: below what is passed on in parts. */
