--- a/src/bin/processSetup.ts
+++ b/src/bin/processSetup.ts
@@ -21,6 +21,19 @@
   }
 }
 
+/** Reads a settings file again while the program runs; a file that can't be used changes nothing. */
+export function checkSettings<T> (file: string, schema: z.ZodType<T>, inForce: T): { isSame: boolean, problem: string | undefined } {
+  let text: string
+  try {
+    text = readFileSync(file, 'utf8')
+  } catch (error) {
+    return { isSame: false, problem: `${file}: cannot be read: ${(error as Error).message}` }
+  }
+  const parsed = parseIni(text, schema)
+  if (parsed.kind === 'invalid') return { isSame: false, problem: formatProblems(file, parsed.problems) }
+  return { isSame: JSON.stringify(parsed.value) === JSON.stringify(inForce), problem: undefined }
+}
+
 /** Prints a problem and ends the process. */
 export function endWith (problem: string, code: number): never {
   console.error(problem)
