Name a function of the stop with a verb of the list

Seen: tests/pages.spec.ts 'functions begin with a verb of VERBS.md' fails on with 'src/core/gateway/stop.ts: canFinishBeforeStop'. Cause: 'can' is no verb of VERBS.md. Now isDoneBeforeStop; the test holds. No behaviour changes.

--- a/src/core/gateway/placing.ts
+++ b/src/core/gateway/placing.ts
@@ -8,7 +8,7 @@
 import { refuseRequest, refuseUnplaced } from './refusals.js'
 import { addRetryShare } from './retryBudget.js'
 import { chooseService, findRange, findRoute } from './routing.js'
-import { canFinishBeforeStop } from './stop.js'
+import { isDoneBeforeStop } from './stop.js'
 
 /** Time that a connection may have been idle when an idempotent request is sent on it, in milliseconds. */
 const maxIdleMs = 4000
@@ -54,7 +54,7 @@
     sentAt: 0,
     inFlightAtSend: 0
   }
-  if (!canFinishBeforeStop(state.stop, request.deadlineAt)) return refuseRequest(work, request, 'draining', 0)
+  if (!isDoneBeforeStop(state.stop, request.deadlineAt)) return refuseRequest(work, request, 'draining', 0)
   state.requests.set(request.id, request)
   addRetryShare(state, service)
   countKey(work, request)
--- a/src/core/gateway/stop.ts
+++ b/src/core/gateway/stop.ts
@@ -16,7 +16,7 @@
 }
 
 /** Whether a stopping host can still see a request to its end. */
-export function canFinishBeforeStop (stop: GatewayStop, deadlineAt: number): boolean {
+export function isDoneBeforeStop (stop: GatewayStop, deadlineAt: number): boolean {
   if (stop.phase === 'serving' || stop.phase === 'leaving') return true
   return stop.phase === 'finishing' && deadlineAt + lastAnswerMs <= stop.endAt
 }
