Keep the lines of a failure: a budget of bytes for each kind of log line

On-call saw: the collected output of a process (150 kB) reached back 3 to 9 s, nine tenths of it requestAnswered lines of some 390 bytes; no line of the failure was left.

Cause: one budget of 300 lines a second for all kinds; answered requests used half of it before any was left out, and a burst of one kind used all of it.

Now each kind of line has a budget of bytes; a plain success (first sending, at once, within the route's target) shares 500 bytes a second with all others of the process. lateMs and heldMs say why an answer keeps its line. What is left out is counted, and summed up by route and status or reason in linesLeftOut (3307), a line a second. Lines of start, stop and requestCut have no limit. Lines no longer repeat name, pid, level and v; 'started' has them.

Evidence (tests/logBudget.spec.ts, a minute at 75 requests a second and one stop, the collector's prefix included): 1,461,321 bytes before, 152,492 with the budgets, 128,884 with the shorter lines as well. All 307 lines offered that are no plain success are in it. Before, the storeLost line after 5000 refusals was left out. With the earlier budget behind the new interface three of the six tests in virtual time failed (bytes of the minute, burst of one kind, short summary).

--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -135,6 +135,7 @@
 function finishRequest (work: GatewayWork, request: GatewayRequest, backend: string | undefined, status: number): void {
   const { state } = work
   const ms = state.now - request.arrivedAt
+  const heldMs = Math.round(request.sentAt - request.arrivedAt)
   state.requests.delete(request.id)
   work.effects.push({ kind: 'observe-answer', service: request.service, ms })
   work.effects.push({
@@ -147,6 +148,8 @@
       backend,
       status,
       ms: Math.round(ms),
+      lateMs: ms > request.route.targetMs ? Math.round(ms - request.route.targetMs) : undefined,
+      heldMs: heldMs > 0 ? heldMs : undefined,
       attempts: request.attempt,
       configuration: state.configuration?.version,
       placement: state.placementVersion.revision,
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -16,6 +16,7 @@
   countRefusal: (reason: RefusalReason, outcome: 'not-run' | 'unknown') => void
   countRetry: (reason: RetryReason) => void
   countRejectedValue: () => void
+  countLeftOut: (event: string) => void
   observeAnswer: (service: string, ms: number) => void
 }
 
@@ -26,6 +27,7 @@
   const refusals = new Counter({ name: 'fulmar_gateway_refusals_total', help: 'Requests refused or failed, by reason and outcome', labelNames: ['reason', 'outcome'], registers })
   const retries = new Counter({ name: 'fulmar_gateway_retries_total', help: 'Requests sent again, by reason', labelNames: ['reason'], registers })
   const rejected = new Counter({ name: 'fulmar_gateway_rejected_values_total', help: 'Values of the store that could not be decoded', registers })
+  const leftOut = new Counter({ name: 'fulmar_gateway_log_lines_left_out_total', help: 'Log lines left out within the budgets, by event', labelNames: ['event'], registers })
   const answers = new Histogram({
     name: 'fulmar_gateway_answer_ms',
     help: 'Time from request to answer, by service, in milliseconds',
@@ -43,6 +45,7 @@
     countRefusal: (reason, outcome) => refusals.inc({ reason, outcome }),
     countRetry: reason => retries.inc({ reason }),
     countRejectedValue: () => rejected.inc(),
+    countLeftOut: event => leftOut.inc({ event }),
     observeAnswer: (service, ms) => answers.observe({ service }, ms)
   }
 }
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -51,7 +51,7 @@
 
 /** Starts a gateway: opens its ports, follows the store and serves callers. */
 export async function startGateway (settings: GatewaySettings, parts: GatewayParts): Promise<GatewayStart> {
-  const { store, wire, timers, log } = parts
+  const { store, wire, timers } = parts
   const { clock } = timers
   const { gateway } = settings
   const exchanges: GatewayExchanges = new Map()
@@ -75,6 +75,8 @@
       gateway_placement_revision: now.placementVersion.revision
     }
   })
+  const budget = createLogBudget({ timers, log: parts.log, countLeftOut: metrics.countLeftOut })
+  const { log } = budget
   const front = createCallerFront({ timers, wire, exchanges, post, countRefusal: reason => metrics.countRefusal(reason, 'not-run') })
   const sender = createBackendSender({ wire, timers, post })
   const grants = createGrantCaller(wire, timers)
@@ -102,7 +104,7 @@
     countRejected: metrics.countRejectedValue,
     relay: exchange.relay
   })
-  const interpreters = { identity, clock, exchanges, front, sender, grants, exchange, store, wire, follower, metrics, post, log: createLogBudget(clock, log), end: (reason: EndReason, afterMs: number) => close(reason, afterMs) }
+  const interpreters = { identity, clock, exchanges, front, sender, grants, exchange, store, wire, follower, metrics, post, log, end: (reason: EndReason, afterMs: number) => close(reason, afterMs) }
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => reduceGateway(current, event, parts.rules),
@@ -146,6 +148,7 @@
     grants.close()
     exchange.close()
     store.close()
+    budget.close()
     log(runtimeEventNumbers.stopped, 'stopped', { host: gateway.name, reason, afterMs: Math.round(afterMs), requests: exchanges.size })
     end()
   }
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -2,15 +2,16 @@
 import type { GatewayEvent } from '../../core/gateway/events.js'
 import type { GatewayIdentity } from '../../core/gateway/state.js'
 import type { Clock } from '../clock.js'
+import type { LogEvent } from '../log.js'
 import type { BackendSender } from './backendSender.js'
 import type { CallerFront } from './callerFront.js'
 import type { GatewayExchanges } from './exchanges.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { GrantCaller } from './grantCaller.js'
 import type { FleetExchange } from './fleetExchange.js'
-import type { createLogBudget } from './logBudget.js'
 import type { GatewayWire, MetadataStore } from './ports.js'
 import type { GatewayFollower } from './storeFollower.js'
+import { gatewayEventNumbers } from '../../core/gateway/effects.js'
 import { grantTimeoutMs, releaseTimeoutMs } from '../../core/gateway/limits.js'
 import { runDetached } from '../runDetached.js'
 import { encodeGrantingHost, encodeGrantingRecord, encodePlacement, grantingHostKey, lastGrantingHostKey, placementKey } from '../../protocol/placementRecord.js'
@@ -29,7 +30,7 @@
   follower: GatewayFollower
   metrics: GatewayMetrics
   post: (event: GatewayEvent) => boolean
-  log: ReturnType<typeof createLogBudget>
+  log: LogEvent
   /** Ends the process. */
   end: (reason: EndReason, afterMs: number) => void
 }
@@ -60,7 +61,7 @@
     case 'count-refusal': return parts.metrics.countRefusal(effect.reason, effect.outcome)
     case 'count-retry': return parts.metrics.countRetry(effect.reason)
     case 'observe-answer': return parts.metrics.observeAnswer(effect.service, effect.ms)
-    case 'log': return parts.log(effect.event, effect.fields)
+    case 'log': return parts.log(gatewayEventNumbers[effect.event], effect.event, effect.fields)
   }
 }
 
