--- a/src/runtime/boundedStream.ts
+++ b/src/runtime/boundedStream.ts
@@ -1,4 +1,5 @@
 import type { Writable } from 'node:stream'
+import { hostname } from 'node:os'
 
 /** Bytes that may wait for a reader before lines are dropped: a few seconds of lines. */
 const maxWaitingBytes = 256 * 1024
@@ -16,7 +17,7 @@
       return false
     }
     if (dropped > 0) {
-      target.write(`${JSON.stringify({ event: 3304, msg: 'logLinesDropped', count: dropped, time: new Date().toISOString() })}\n`)
+      target.write(`${JSON.stringify({ hostname: hostname(), event: 3304, msg: 'logLinesDropped', count: dropped, time: new Date().toISOString() })}\n`)
       dropped = 0
     }
     return target.write(line)
