Metrics of a stop: its phase, open caller connections, requests cut

On-call saw: in the metrics scraped during the incident nothing told whether a host was stopping, how far it was, how many callers were still connected, or that it cut requests.

Now gauges fulmar_gateway_stop_phase and fulmar_gateway_caller_connections, and the counter fulmar_gateway_requests_cut_total beside the line requestCut.

--- a/src/core/gateway/stop.ts
+++ b/src/core/gateway/stop.ts
@@ -1,11 +1,14 @@
 /** Time kept between the deadline of a request and the end, in milliseconds: ticks, and the way of an answer to its caller. */
 const lastAnswerMs = 200
 
+/** Phases of an orderly stop, in their order. */
+export const stopPhases = ['serving', 'leaving', 'finishing', 'closing', 'stopped'] as const
+
 /**
  * How far an orderly stop has come: `leaving` takes every request, `finishing` only those
  * whose deadline passes before the end, `closing` none.
  */
-export type StopPhase = 'serving' | 'leaving' | 'finishing' | 'closing' | 'stopped'
+export type StopPhase = typeof stopPhases[number]
 
 /** Progress of an orderly stop; times in milliseconds of the steady clock. */
 export type GatewayStop = { phase: StopPhase, askedAt: number, noticeEndsAt: number, endAt: number }
--- a/src/runtime/gateway/callerConnections.ts
+++ b/src/runtime/gateway/callerConnections.ts
@@ -10,6 +10,8 @@
 export type CallerConnections = {
   /** Takes a request when the one before it on the same connection has been answered. */
   take: (request: IncomingMessage, response: ServerResponse, accept: () => void) => void
+  /** Counts those that are open. */
+  count: () => number
   /** Closes the connections that have been used and are idle. */
   closeIdle: () => void
   /** Opens none any more and closes each once its answers are written; calls `then` after the last. */
@@ -65,6 +67,7 @@
       if (connection.answering) connection.next.push(accept)
       else start(connection, accept)
     },
+    count: () => connections.size,
     closeIdle: () => closeWhere(connection => connection.isUsed),
     close: then => {
       isClosing = true
--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -32,6 +32,7 @@
   setLimits: (limits: CallerLimits) => void
   /** From now on each answer closes its connection. */
   endKeepAlive: () => void
+  countConnections: CallerConnections['count']
   closeIdle: CallerConnections['closeIdle']
   close: CallerConnections['close']
   deliver: (exchange: GatewayExchange) => void
@@ -72,6 +73,7 @@
       server.keepAliveTimeout = limits.idleTimeoutMs
     },
     endKeepAlive: () => { closing = true },
+    countConnections: connections.count,
     closeIdle: connections.closeIdle,
     close: connections.close,
     deliver: exchange => deliverAnswer(exchange, options, closing),
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -6,7 +6,9 @@
 const latencyBoundsMs = [5, 15, 25, 50, 100, 150, 200, 250, 300, 400, 500, 800, 1200, 2000, 5000]
 
 /** Names of a gateway's gauges. */
-export const gatewayGauges = ['gateway_requests', 'gateway_store_up', 'gateway_granting', 'gateway_configuration_version', 'gateway_placement_revision'] as const
+export const gatewayGauges = [
+  'gateway_requests', 'gateway_caller_connections', 'gateway_stop_phase', 'gateway_store_up', 'gateway_granting', 'gateway_configuration_version', 'gateway_placement_revision'
+] as const
 /** Name of a gateway's gauge. */
 export type GatewayGauge = typeof gatewayGauges[number]
 
@@ -17,6 +19,7 @@
   countRetry: (reason: RetryReason) => void
   countRejectedValue: () => void
   countLeftOut: (event: string) => void
+  countCut: () => void
   observeAnswer: (service: string, ms: number) => void
 }
 
@@ -28,6 +31,7 @@
   const retries = new Counter({ name: 'fulmar_gateway_retries_total', help: 'Requests sent again, by reason', labelNames: ['reason'], registers })
   const rejected = new Counter({ name: 'fulmar_gateway_rejected_values_total', help: 'Values of the store that could not be decoded', registers })
   const leftOut = new Counter({ name: 'fulmar_gateway_log_lines_left_out_total', help: 'Log lines left out within the budgets, by event', labelNames: ['event'], registers })
+  const cut = new Counter({ name: 'fulmar_gateway_requests_cut_total', help: 'Requests in flight when the process ended', registers })
   const answers = new Histogram({
     name: 'fulmar_gateway_answer_ms',
     help: 'Time from request to answer, by service, in milliseconds',
@@ -45,6 +49,7 @@
     countRefusal: (reason, outcome) => refusals.inc({ reason, outcome }),
     countRetry: reason => retries.inc({ reason }),
     countRejectedValue: () => rejected.inc(),
+    countCut: () => cut.inc(),
     countLeftOut: event => leftOut.inc({ event }),
     observeAnswer: (service, ms) => answers.observe({ service }, ms)
   }
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -15,6 +15,7 @@
 import { gatewayTickMs } from '../../core/gateway/limits.js'
 import { isGatewayReady, isTickDue, reduceGateway } from '../../core/gateway/reduceGateway.js'
 import { buildGatewayState } from '../../core/gateway/state.js'
+import { stopPhases } from '../../core/gateway/stop.js'
 import { createAdminServer } from '../adminServer.js'
 import { createPeerCredentials } from '../credentials.js'
 import { listenHttp } from '../listen.js'
@@ -69,6 +70,8 @@
     const now = program.getState()
     return {
       gateway_requests: now.requests.size,
+      gateway_caller_connections: front.countConnections(),
+      gateway_stop_phase: stopPhases.indexOf(now.stop.phase),
       gateway_store_up: now.storeUp ? 1 : 0,
       gateway_granting: now.granting.role === 'leading' ? 1 : 0,
       gateway_configuration_version: now.configuration?.version ?? 0,
@@ -139,6 +142,7 @@
   const stopped = new Promise<void>(resolve => { end = resolve })
   const close = (reason: EndReason, afterMs: number) => {
     for (const cut of exchanges.values()) {
+      metrics.countCut()
       log(runtimeEventNumbers.requestCut, 'requestCut', { requestId: cut.requestId, isSent: cut.sending !== undefined, ageMs: Math.round(clock.now() - cut.startedAt) })
     }
     follower.stop()
