A request refused before it is routed leaves a line

On-call saw: no line for the id of a request that was refused with 400, 413 or 431, or with 503 since the queue of events was full (that one was not counted either); the counter bad-request also grew with each caller's connection that broke.

Cause: the front towards callers counts its refusals itself and logged none of them; a reset of a connection comes as 'clientError' too, and was counted as a refusal.

Now each has a requestRefused line with id, reason and status, within the budgets; a broken connection counts as none. A caller's path and host name stand in the line with 200 characters at most: one of 64 KB would go beyond the budget of its kind.

--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -5,6 +5,8 @@
 
 /** Shortest time after which a refused caller is asked to come back, in milliseconds. */
 const shortestRetryMs = 40
+/** Part of a path or host name of a caller that a log line holds, in characters: callers choose their length. */
+const loggedCharacters = 200
 /** Share of the time to the target within which a refused caller should be back. */
 const retryWithinTarget = 0.4
 
@@ -17,7 +19,7 @@
   work.effects.push({
     kind: 'log',
     event: 'requestRefused',
-    fields: { requestId: event.head.requestId, reason, status, host: event.head.host, path: event.head.path, configuration: work.state.configuration?.version }
+    fields: { requestId: event.head.requestId, reason, status, host: event.head.host.slice(0, loggedCharacters), path: event.head.path.slice(0, loggedCharacters), configuration: work.state.configuration?.version }
   })
 }
 
--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -23,9 +23,12 @@
   wire: GatewayWire
   exchanges: GatewayExchanges
   post: (event: GatewayEvent) => boolean
-  countRefusal: (reason: RefusalReason) => void
+  noteRefusal: (refusal: FrontRefusal) => void
 }
 
+/** A request that was refused before it was routed; one that is no HTTP has no id. */
+export type FrontRefusal = { requestId: string | undefined, reason: RefusalReason, status: number }
+
 /** The HTTP side towards callers. */
 export type CallerFront = {
   server: Server
@@ -58,9 +61,10 @@
     server.emit('request', request, response)
   })
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    const isOversized = error.code === 'HPE_HEADER_OVERFLOW'
-    options.countRefusal(isOversized ? 'oversized' : 'bad-request')
+    // A connection that broke asked for nothing that could be refused.
     if (!socket.writable) return
+    const isOversized = error.code === 'HPE_HEADER_OVERFLOW'
+    options.noteRefusal({ requestId: undefined, reason: isOversized ? 'oversized' : 'bad-request', status: isOversized ? 431 : 400 })
     const status = isOversized ? '431 Request Header Fields Too Large' : '400 Bad Request'
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
@@ -107,7 +111,7 @@
     options.post({ kind: 'caller-gone', now: options.timers.clock.now(), id })
   })
   const refuse = (reason: RefusalReason, status: number) => {
-    options.countRefusal(reason)
+    options.noteRefusal({ requestId: exchange.requestId, reason, status })
     writeRefusal(exchange, { reason, status, retryAfterMs: undefined }, options, true)
   }
   if (countHosts(request) > 1) return refuse('bad-request', 400)
@@ -119,7 +123,9 @@
     exchange.first = part
     exchange.rest = state === 'whole' ? undefined : request
     const posted = options.post({ kind: 'request-arrived', now: options.timers.clock.now(), id, head: readHead(exchange, options.wire) })
-    if (!posted) writeRefusal(exchange, { reason: 'not-ready', status: 503, retryAfterMs: 500 }, options, acceptance.isClosing())
+    if (posted) return
+    options.noteRefusal({ requestId: exchange.requestId, reason: 'not-ready', status: 503 })
+    writeRefusal(exchange, { reason: 'not-ready', status: 503, retryAfterMs: 500 }, options, acceptance.isClosing())
   })
 }
 
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -6,11 +6,13 @@
 import type { GatewaySettings } from '../../protocol/gatewaySettings.js'
 import type { LogEvent } from '../log.js'
 import type { TimerService } from '../timerService.js'
+import type { FrontRefusal } from './callerFront.js'
 import type { GatewayExchanges } from './exchanges.js'
 import type { GatewayWire, MetadataStore } from './ports.js'
 import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import { createServer } from 'node:http'
+import { gatewayEventNumbers } from '../../core/gateway/effects.js'
 import { buildFleetLoad } from '../../core/gateway/loadExchange.js'
 import { gatewayTickMs } from '../../core/gateway/limits.js'
 import { isGatewayReady, isTickDue, reduceGateway } from '../../core/gateway/reduceGateway.js'
@@ -80,7 +82,11 @@
   })
   const budget = createLogBudget({ timers, log: parts.log, countLeftOut: metrics.countLeftOut })
   const { log } = budget
-  const front = createCallerFront({ timers, wire, exchanges, post, countRefusal: reason => metrics.countRefusal(reason, 'not-run') })
+  const noteRefusal = (refusal: FrontRefusal) => {
+    metrics.countRefusal(refusal.reason, 'not-run')
+    log(gatewayEventNumbers.requestRefused, 'requestRefused', refusal)
+  }
+  const front = createCallerFront({ timers, wire, exchanges, post, noteRefusal })
   const sender = createBackendSender({ wire, timers, post })
   const grants = createGrantCaller(wire, timers)
   const peerCredentials = settings.tls === undefined
