--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -6,15 +6,18 @@
 import type { GatewaySettings } from '../../protocol/gatewaySettings.js'
 import type { LogEvent } from '../log.js'
 import type { TimerService } from '../timerService.js'
+import type { FrontRefusal } from './callerFront.js'
 import type { GatewayExchanges } from './exchanges.js'
 import type { GatewayWire, MetadataStore } from './ports.js'
 import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import { createServer } from 'node:http'
+import { gatewayEventNumbers } from '../../core/gateway/effects.js'
 import { buildFleetLoad } from '../../core/gateway/loadExchange.js'
 import { gatewayTickMs } from '../../core/gateway/limits.js'
 import { isGatewayReady, isTickDue, reduceGateway } from '../../core/gateway/reduceGateway.js'
 import { buildGatewayState } from '../../core/gateway/state.js'
+import { stopPhases } from '../../core/gateway/stop.js'
 import { createAdminServer } from '../adminServer.js'
 import { createPeerCredentials } from '../credentials.js'
 import { listenHttp } from '../listen.js'
@@ -51,7 +54,7 @@
 
 /** Starts a gateway: opens its ports, follows the store and serves callers. */
 export async function startGateway (settings: GatewaySettings, parts: GatewayParts): Promise<GatewayStart> {
-  const { store, wire, timers, log } = parts
+  const { store, wire, timers } = parts
   const { clock } = timers
   const { gateway } = settings
   const exchanges: GatewayExchanges = new Map()
@@ -69,13 +72,21 @@
     const now = program.getState()
     return {
       gateway_requests: now.requests.size,
+      gateway_caller_connections: front.countConnections(),
+      gateway_stop_phase: stopPhases.indexOf(now.stop.phase),
       gateway_store_up: now.storeUp ? 1 : 0,
       gateway_granting: now.granting.role === 'leading' ? 1 : 0,
       gateway_configuration_version: now.configuration?.version ?? 0,
       gateway_placement_revision: now.placementVersion.revision
     }
   })
-  const front = createCallerFront({ timers, wire, exchanges, post, countRefusal: reason => metrics.countRefusal(reason, 'not-run') })
+  const budget = createLogBudget({ timers, log: parts.log, countLeftOut: metrics.countLeftOut })
+  const { log } = budget
+  const noteRefusal = (refusal: FrontRefusal) => {
+    metrics.countRefusal(refusal.reason, 'not-run')
+    log(gatewayEventNumbers.requestRefused, 'requestRefused', refusal)
+  }
+  const front = createCallerFront({ timers, wire, exchanges, post, noteRefusal })
   const sender = createBackendSender({ wire, timers, post })
   const grants = createGrantCaller(wire, timers)
   const peerCredentials = settings.tls === undefined
@@ -99,7 +110,7 @@
     countRejected: metrics.countRejectedValue,
     relay: exchange.relay
   })
-  const interpreters = { identity, clock, exchanges, front, sender, grants, exchange, store, wire, follower, metrics, post, log: createLogBudget(clock, log), end: (reason: EndReason, afterMs: number) => close(reason, afterMs) }
+  const interpreters = { identity, clock, exchanges, front, sender, grants, exchange, store, wire, follower, metrics, post, log, end: (reason: EndReason, afterMs: number) => close(reason, afterMs) }
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => reduceGateway(current, event, parts.rules),
@@ -134,6 +145,7 @@
   const stopped = new Promise<void>(resolve => { end = resolve })
   const close = (reason: EndReason, afterMs: number) => {
     for (const cut of exchanges.values()) {
+      metrics.countCut()
       log(runtimeEventNumbers.requestCut, 'requestCut', { requestId: cut.requestId, isSent: cut.sending !== undefined, ageMs: Math.round(clock.now() - cut.startedAt) })
     }
     follower.stop()
@@ -143,6 +155,7 @@
     grants.close()
     exchange.close()
     store.close()
+    budget.close()
     log(runtimeEventNumbers.stopped, 'stopped', { host: gateway.name, reason, afterMs: Math.round(afterMs), requests: exchanges.size })
     end()
   }
