A repeated SIGTERM no longer ends a program that is stopping

Callers of a stopping router or gateway saw their connections cut at the second SIGTERM. Cause: handleSignals ended the process at any second signal, with all that was in flight; supervisors and hosts repeat SIGTERM.

Why it works: only a second SIGINT, which a person sends, ends the process at once; the end of a stop that takes too long is the grace of the program, and SIGKILL after it.

--- a/src/bin/processSetup.ts
+++ b/src/bin/processSetup.ts
@@ -27,14 +27,22 @@
   process.exit(code)
 }
 
-/** Calls `stop` once on SIGTERM or SIGINT; a second signal ends the process. */
+/**
+ * Calls `stop` once on SIGTERM or SIGINT. Supervisors repeat SIGTERM, which must cut nothing;
+ * a second SIGINT, of a person at a terminal, ends the process at once.
+ */
 export function handleSignals (stop: () => void): void {
-  let asked = false
+  let isStopping = false
+  let interrupts = 0
   const handle = () => {
-    if (asked) process.exit(1)
-    asked = true
+    if (isStopping) return
+    isStopping = true
     stop()
   }
   process.on('SIGTERM', handle)
-  process.on('SIGINT', handle)
+  process.on('SIGINT', () => {
+    interrupts += 1
+    if (interrupts > 1) process.exit(1)
+    handle()
+  })
 }
