A stopping router takes only callers that it can see to their end

Callers of a stopping router to which a balancer went on sending had their requests cut 60 s after the wish to stop, while backend servers were at work for them; one whose body was still arriving when the router had nothing else to do was run and cut 100 ms later.

A drain took every caller until a tick found no work or 60 s had passed, then was 'stopped' and still took what came on open connections, gave it to backend servers, and closed everything. No answer said Connection: close. A drain asked for while the queue of events was full was lost.

Outlasting request: answered 'unknown' now.

What is left at the end gets an answer that says so.

--- a/spec/virtualFleet.ts
+++ b/spec/virtualFleet.ts
@@ -182,10 +182,14 @@
       schedule(fleet, computeLatency(fleet), () => postController(fleet, { kind: 'report-received', now: 0, report }))
       return
     }
+    case 'close-callers': return schedule(fleet, 0, () => postRouter(fleet, name, { kind: 'callers-closed', now: 0 }))
+    case 'unregister': {
+      dropRecord(fleet, `fulmar/routers/${name}`, { kind: 'registration-removed', router: name })
+      return schedule(fleet, computeLatency(fleet), () => postRouter(fleet, name, { kind: 'unregistered', now: 0 }))
+    }
     case 'stop': {
       const router = fleet.routers.get(name)
       if (router !== undefined) router.alive = false
-      dropRecord(fleet, `fulmar/routers/${name}`, { kind: 'registration-removed', router: name })
     }
   }
 }
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -46,3 +46,5 @@
 export const moveRetryMs = 500
 /** Hot keys that one report lists. */
 export const reportedHotKeys = 20
+/** Time that a router has to stop unless settings say otherwise, in milliseconds. */
+export const defaultGraceMs = 60_000
--- a/src/core/router/dispatch.ts
+++ b/src/core/router/dispatch.ts
@@ -35,6 +35,7 @@
     mayHaveRun: false,
     canceled: false
   }
+  if (state.phase === 'closing' || state.phase === 'stopped') return refuseEgress(state, egress, 'not-run', 'draining')
   const backend = state.backends.get(formatBackendId(request.service, request.owner))
   if (backend === undefined || !backend.held) return refuseAsNotHolder(state, egress)
   if (!rules.isLeaseValid(state, state.now)) return refuseEgress(state, egress, 'not-run', 'lease-lapsed')
--- a/src/core/router/drain.ts
+++ b/src/core/router/drain.ts
@@ -3,13 +3,18 @@
 import type { RouterState } from './routerState.js'
 import { controlResendMs } from '../limits.js'
 import { listInFlight } from './backends.js'
+import { endUnfinished } from './ingress.js'
 import { refuseWaiting } from './refusal.js'
 import { listRevisions } from './revisions.js'
 
-/** Time for which a draining router still accepts callers, so that the balancer can leave it, in milliseconds. */
+/** Time for which a draining router keeps its lease, so that the balancer can leave it, in milliseconds. */
 export const drainNoticeMs = 500
-/** Longest time a drain waits for requests in flight, in milliseconds. */
-export const drainLimitMs = 60_000
+/** Time for which a draining router takes all callers, in milliseconds: the balancer leaves it after two probes, a second apart. */
+const leaveNoticeMs = 2600
+/** Part of the time until the end that this notice may take, where the grace is short. */
+const leaveNoticeShare = 0.5
+/** Time before the end of the grace at which the router ends, in milliseconds: closing its ports and the exit itself. */
+const endBeforeGraceMs = 400
 
 /** Longest time a resignation waits for its successor's answer before the router stops without it, in milliseconds. */
 export const resignLimitMs = 2000
@@ -19,11 +24,15 @@
 
 /** Starts an orderly stop. */
 export function startDrain (state: RouterState): RouterEffect[] {
-  if (state.phase === 'draining' || state.phase === 'stopped') return []
+  if (state.phase !== 'starting' && state.phase !== 'serving') return []
+  const availableMs = Math.max(0, state.graceMs - endBeforeGraceMs)
   state.phase = 'draining'
   state.drainStartedAt = state.now
+  state.noticeEndsAt = state.now + Math.min(leaveNoticeMs, availableMs * leaveNoticeShare)
+  state.drainEndsAt = state.now + availableMs
   state.nextReportAt = state.now
-  return [{ kind: 'log', event: 'drainStarted', fields: { ingress: state.ingress.size, egress: state.egress.size } }]
+  const fields = { ingress: state.ingress.size, egress: state.egress.size, graceMs: state.graceMs }
+  return [{ kind: 'log', event: 'drainStarted', fields }, { kind: 'end-keep-alive' }]
 }
 
 /** Stops in an orderly way a router that others took over from while it was paused or cut off. */
@@ -33,20 +42,42 @@
   return [{ kind: 'log', event: 'deposed', fields: { router: state.self } }, ...startDrain(state)]
 }
 
-/** Moves an orderly stop on: give the lease away, let everything in flight finish, stop. */
+/** Moves an orderly stop on: give the lease away, let everything in flight finish, close the port, stop. */
 export function advanceDrain (state: RouterState, rules: RouterRules): RouterEffect[] {
-  if (state.phase !== 'draining') return []
+  if (state.phase !== 'draining' && state.phase !== 'closing') return []
+  if (state.now >= state.drainEndsAt) return endOutOfTime(state)
+  if (state.phase === 'closing') return []
   const elapsed = state.now - state.drainStartedAt
   if (elapsed < drainNoticeMs) return []
   if (elapsed < guardLimitMs && isGuardian(state)) return []
   const lease = state.lease
-  if (elapsed < drainLimitMs) {
-    if (lease.phase === 'normal') return startResignation(state, rules)
-    if (lease.phase === 'resigning') return advanceResignation(state)
-    if (hasWork(state)) return []
-  }
+  if (lease.phase === 'normal') return startResignation(state, rules)
+  if (lease.phase === 'resigning') return advanceResignation(state)
+  if (hasWork(state)) return []
+  state.phase = 'closing'
+  return [{ kind: 'close-callers' }]
+}
+
+/** Leaves the fleet once the last caller has its answer. */
+export function handleCallersClosed (state: RouterState): RouterEffect[] {
+  return state.phase === 'closing' ? [{ kind: 'unregister' }] : []
+}
+
+/** Ends the router once nothing names it any more. */
+export function handleUnregistered (state: RouterState): RouterEffect[] {
+  return state.phase === 'closing' ? endDrain(state, 'drained', 0) : []
+}
+
+/** Answers what is left when the time of the stop is up. */
+function endOutOfTime (state: RouterState): RouterEffect[] {
+  const cut = state.ingress.size + [...state.egress.keys()].filter(id => !state.ingress.has(id)).length
+  return [...endUnfinished(state), ...endDrain(state, 'out-of-time', cut)]
+}
+
+function endDrain (state: RouterState, reason: 'drained' | 'out-of-time', cut: number): RouterEffect[] {
   state.phase = 'stopped'
-  return [{ kind: 'log', event: 'drainDone', fields: { ms: Math.round(elapsed) } }, { kind: 'stop' }]
+  const fields = { ms: Math.round(state.now - state.drainStartedAt), reason, cut }
+  return [{ kind: 'log', event: 'drainDone', fields }, { kind: 'stop' }]
 }
 
 /** Tells whether the fleet record names this router as a guardian. */
@@ -70,7 +101,7 @@
 function startResignation (state: RouterState, rules: RouterRules): RouterEffect[] {
   const lease = state.lease
   if (lease.successor === undefined || !hasHoldings(state)) {
-    if (hasWork(state) && state.now - state.drainStartedAt < drainLimitMs) return []
+    if (hasWork(state)) return []
     lease.phase = 'resigned'
     return []
   }
--- a/src/core/router/ingress.ts
+++ b/src/core/router/ingress.ts
@@ -6,6 +6,7 @@
 import { maxRerouteDelayMs, maxRouteAttempts, rerouteDelayMs } from '../limits.js'
 import { acceptRequest } from './dispatch.js'
 import { cancelRequest } from './dispatchEnd.js'
+import { isDoneBeforeEnd } from './drainAdmission.js'
 import { findUnit, formatBackendId, formatUnitId, resolveHolder, resolveKey } from './ownership.js'
 import { addRetryTokens, takeRetryToken } from './retryBudget.js'
 import { findRoute, readKey } from './routes.js'
@@ -29,6 +30,7 @@
   if (key === undefined || key.length === 0) return refuseEarly(event.id, 'missing-key')
   if (key.length > maxKeyLength) return refuseEarly(event.id, 'oversized')
   const request = buildIngressRequest(state, event, routed, key)
+  if (!isDoneBeforeEnd(state, request.deadlineAt)) return refuseEarly(event.id, 'draining')
   state.ingress.set(request.id, request)
   addRetryTokens(state, request.service)
   const counted: RouterEffect = { kind: 'count', count: { metric: 'requests', rank: request.rank } }
@@ -273,6 +275,17 @@
   return [counted, ...cancelRequest(state, id)]
 }
 
+/** Answers what is left when the time of a stop is up. */
+export function endUnfinished (state: RouterState): RouterEffect[] {
+  const effects: RouterEffect[] = []
+  for (const request of [...state.ingress.values()]) {
+    if (request.phase === 'forwarded' && request.peer !== undefined) effects.push({ kind: 'cancel-forward', id: request.id, peer: request.peer })
+    effects.push(...cancelRequest(state, request.id))
+    effects.push(...refuseCaller(state, request, { outcome: request.phase === 'waiting' ? 'not-run' : 'unknown', reason: 'draining' }))
+  }
+  return effects
+}
+
 /** Reads the time a caller is ready to wait, as sent in its request. */
 export function readTimeout (headers: CallerRequest['headers']): number | undefined {
   const value = headers['fulmar-timeout-ms']
--- a/src/core/router/reduceRouter.ts
+++ b/src/core/router/reduceRouter.ts
@@ -7,7 +7,7 @@
 import type { RouterState } from './routerState.js'
 import { acceptRequest, tickBackend } from './dispatch.js'
 import { cancelRequest, endDispatch } from './dispatchEnd.js'
-import { advanceDrain, startDrain } from './drain.js'
+import { advanceDrain, handleCallersClosed, handleUnregistered, startDrain } from './drain.js'
 import { applyGrantReply, renewGrants } from './grants.js'
 import { advanceHandoffs } from './handoffAdvance.js'
 import { retryLossHandoffs, retryMoves } from './wantedMoves.js'
@@ -61,6 +61,8 @@
     case 'peer-up': return applyPeer(state, event.router, 'up', rules)
     case 'peer-down': return applyPeer(state, event.router, 'down', rules)
     case 'drain-requested': return startDrain(state)
+    case 'callers-closed': return handleCallersClosed(state)
+    case 'unregistered': return handleUnregistered(state)
   }
 }
 
--- a/src/core/router/report.ts
+++ b/src/core/router/report.ts
@@ -11,7 +11,7 @@
   const report = {
     router: state.self,
     generation: state.lease.generation,
-    draining: state.phase === 'draining',
+    draining: state.phase === 'draining' || state.phase === 'closing',
     intervalMs,
     loads: [...state.loads.requests.values()],
     hotKeys: listHotKeys(state),
--- a/src/core/router/routerEffects.ts
+++ b/src/core/router/routerEffects.ts
@@ -90,4 +90,10 @@
   | { kind: 'count', count: RouterCount }
   | { kind: 'observe-latency', rank: Rank, ms: number }
   | { kind: 'log', event: EventName, fields: Record<string, string | number | boolean | undefined> }
+  /** From now on each answer closes its connection. */
+  | { kind: 'end-keep-alive' }
+  /** Takes no connection any more and closes each once its answers are written; `callers-closed` follows. */
+  | { kind: 'close-callers' }
+  /** Takes this router off the list of the fleet; `unregistered` follows. */
+  | { kind: 'unregister' }
   | { kind: 'stop' }
--- a/src/core/router/routerEvents.ts
+++ b/src/core/router/routerEvents.ts
@@ -83,3 +83,7 @@
   | { kind: 'grants-replied', now: number, backend: string, sentAt: number, usableUntil: number, notAfter: number, reply: GrantReply }
   | { kind: 'control-received', now: number, from: string, message: ControlMessage }
   | { kind: 'drain-requested', now: number }
+  /** The last connection of a caller has closed. */
+  | { kind: 'callers-closed', now: number }
+  /** The store no longer lists this router, or can't be asked. */
+  | { kind: 'unregistered', now: number }
--- a/src/core/router/routerState.ts
+++ b/src/core/router/routerState.ts
@@ -5,6 +5,7 @@
 import type { ByRank, Rank } from '../domain/rank.js'
 import type { HostList } from '../domain/hostList.js'
 import type { PeerRequest } from './routerEvents.js'
+import { defaultGraceMs } from '../limits.js'
 
 /** A request between its arrival at the ingress and the end of its answer. */
 export type IngressRequest = {
@@ -221,8 +222,15 @@
   nextMoveCheckAt: number
   /** In-flight notes received with a resignation, by resigning router. */
   resignNotes: Map<string, InFlightNote[]>
-  phase: 'starting' | 'serving' | 'draining' | 'stopped'
+  /** `draining` takes what it can see to its end, `closing` nothing. */
+  phase: 'starting' | 'serving' | 'draining' | 'closing' | 'stopped'
+  /** Time from the wish to stop to the end of the process, in milliseconds. */
+  graceMs: number
   drainStartedAt: number
+  /** Until when a draining router takes all callers. */
+  noticeEndsAt: number
+  /** When the router ends, whatever it has in flight. */
+  drainEndsAt: number
   resignedAt: number
 }
 
@@ -233,7 +241,7 @@
 export type RoutedService = ServiceOfTeam & { route: Route }
 
 /** Builds the state of a router that has just started. */
-export function buildRouterState (self: string, zone: string): RouterState {
+export function buildRouterState (self: string, zone: string, graceMs = defaultGraceMs): RouterState {
   return {
     role: 'router',
     self,
@@ -279,7 +287,10 @@
     nextMoveCheckAt: 0,
     resignNotes: new Map(),
     phase: 'starting',
+    graceMs,
     drainStartedAt: 0,
+    noticeEndsAt: Infinity,
+    drainEndsAt: Infinity,
     resignedAt: 0
   }
 }
--- a/src/demo/localFleet.ts
+++ b/src/demo/localFleet.ts
@@ -7,6 +7,7 @@
 import type { HostListStandin } from '../standins/hostListStandin.js'
 import type { StoreStandin } from '../standins/storeStandin.js'
 import type { StoreClient } from '../runtime/storeClient.js'
+import { defaultGraceMs } from '../core/limits.js'
 import { buildControllerRules } from '../core/controller/rules.js'
 import { buildDefaultRules } from '../core/router/defaultRules.js'
 import { applyDocument } from '../operator/applyDocument.js'
@@ -30,6 +31,8 @@
   trustingBackends: number
   routers: number
   workMs: number
+  /** Time that a router has to stop, in milliseconds. */
+  graceMs?: number
   log: LogEvent
   /** Opens the store for routers and controllers; replaced in tests of failures. */
   openStore?: (address: string) => StoreClient
@@ -71,7 +74,7 @@
   const surroundings = { timers, log: options.log, openStore: options.openStore }
   const rules = options.rules ?? buildDefaultRules
   const startOneRouter = async (name: string, zone: string): Promise<RunningRouter> => {
-    const router = { name, zone, listen: anyPort, 'peer-listen': anyPort, 'admin-listen': anyPort }
+    const router = { name, zone, listen: anyPort, 'peer-listen': anyPort, 'admin-listen': anyPort, 'grace-ms': options.graceMs ?? defaultGraceMs }
     return expectRunning(await startRouter({ ...common, router }, { ...surroundings, rules: rules(hashKey) }))
   }
   const startOneController = async (name: string): Promise<RunningController> => {
--- a/src/runtime/callerServer.ts
+++ b/src/runtime/callerServer.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { TimerService } from './timerService.js'
 import type { Refusal } from '../core/domain/outcome.js'
 import type { RouterEvent } from '../core/router/routerEvents.js'
-import type { Clock } from './clock.js'
 import type { AnswerSink, Exchange, ExchangeTable } from './exchange.js'
 import { createServer } from 'node:http'
 import { statusOfReason } from '../core/domain/outcome.js'
@@ -25,7 +25,7 @@
 
 /** What the server for callers needs. */
 export type CallerServerOptions = {
-  clock: Clock
+  timers: TimerService
   exchanges: ExchangeTable
   post: (event: RouterEvent) => boolean
   /** Counts a request that is refused before it reaches the reducer. */
@@ -36,19 +36,25 @@
   idPrefix: string
 }
 
+/** The HTTP side towards callers. */
+export type CallerServer = {
+  server: Server
+  /** From now on each answer closes its connection. */
+  endKeepAlive: () => void
+  /** Takes no connection any more; calls `then` when the last has closed. */
+  close: (then: () => void) => void
+}
+
 /** Builds the HTTP server that callers speak to. */
-export function createCallerServer (options: CallerServerOptions): Server {
+export function createCallerServer (options: CallerServerOptions): CallerServer {
   let requests = 0
+  let isClosing = false
+  const keeping: Keeping = { isClosing: () => isClosing }
   const server = createServer({ maxHeaderSize: maxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs })
   server.on('request', (request, response) => {
-    if (request.url === balancerProbePath) {
-      request.resume()
-      response.writeHead(options.isReady() ? 200 : 503, { 'content-length': 0 })
-      response.end()
-      return
-    }
+    if (request.url === balancerProbePath) return answerProbe(request, response, options, keeping)
     requests += 1
-    acceptCaller(`${options.idPrefix}${requests}`, request, response, options)
+    acceptCaller(`${options.idPrefix}${requests}`, request, response, options, keeping)
   })
   server.on('checkContinue', (request, response) => {
     response.writeContinue()
@@ -61,15 +67,32 @@
     const status = oversized ? '431 Request Header Fields Too Large' : '400 Bad Request'
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\nfulmar-outcome: not-run\r\n\r\n`)
   })
-  return server
+  return {
+    server,
+    endKeepAlive: () => { isClosing = true },
+    close: then => { server.close(() => then()) }
+  }
+}
+
+/** Whether answers close their connections. */
+type Keeping = { isClosing: () => boolean }
+
+function buildConnectionHeader (closes: boolean): Record<string, string> {
+  return closes ? { connection: 'close' } : {}
+}
+
+function answerProbe (request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, keeping: Keeping): void {
+  request.resume()
+  response.writeHead(options.isReady() ? 200 : 503, { 'content-length': 0, ...buildConnectionHeader(keeping.isClosing()) })
+  response.end()
 }
 
-function acceptCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions): void {
+function acceptCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, keeping: Keeping): void {
   response.on('error', () => {})
   request.on('error', () => {})
   if (hasNoBody(request)) {
     request.resume()
-    startExchange(id, request, response, Buffer.alloc(0), true, options)
+    startExchange(id, request, response, Buffer.alloc(0), true, options, keeping)
     return
   }
   readFirstPart(request, (first, ended) => {
@@ -78,7 +101,7 @@
       response.destroy()
       return
     }
-    startExchange(id, request, response, first, ended, options)
+    startExchange(id, request, response, first, ended, options, keeping)
   })
 }
 
@@ -118,19 +141,20 @@
   response: ServerResponse,
   first: Buffer,
   ended: boolean,
-  options: CallerServerOptions
+  options: CallerServerOptions,
+  keeping: Keeping
 ): void {
-  const now = () => options.clock.now()
+  const now = () => options.timers.clock.now()
   const release = () => options.exchanges.delete(id)
   const exchange: Exchange = {
     id,
     http: { method: request.method ?? 'GET', path: request.url ?? '/', headers: listPassedHeaders(request.rawHeaders, false) },
     first,
     rest: ended ? undefined : request,
-    sink: buildSink(id, response, options),
+    sink: buildSink(id, response, options, keeping),
     refuse: refusal => {
       release()
-      writeRefusal(request, response, refusal)
+      writeRefusal(request, response, refusal, keeping)
     },
     finish: result => {
       release()
@@ -165,11 +189,12 @@
   exchange.refuse({ outcome: 'not-run', reason: 'not-ready' })
 }
 
-function buildSink (id: string, response: ServerResponse, options: CallerServerOptions): AnswerSink {
+function buildSink (id: string, response: ServerResponse, options: CallerServerOptions, keeping: Keeping): AnswerSink {
   return {
     start: (status, headers) => {
-      options.post({ kind: 'answer-started', now: options.clock.now(), id })
-      response.writeHead(status, formatHeaders(headers))
+      options.post({ kind: 'answer-started', now: options.timers.clock.now(), id })
+      const pairs = keeping.isClosing() ? [...headers, { name: 'connection', value: 'close' }] : headers
+      response.writeHead(status, formatHeaders(pairs))
     },
     write: (part, then) => {
       if (response.write(part)) then()
@@ -178,13 +203,13 @@
     end: () => response.end(),
     abort: () => {
       if (response.headersSent) response.destroy()
-      else writeRefusal(undefined, response, { outcome: 'unknown', reason: 'backend-failed' })
+      else writeRefusal(undefined, response, { outcome: 'unknown', reason: 'backend-failed' }, keeping)
     }
   }
 }
 
 /** Tells a caller that its request was refused, whether it ran, and why. */
-function writeRefusal (request: IncomingMessage | undefined, response: ServerResponse, refusal: Refusal): void {
+function writeRefusal (request: IncomingMessage | undefined, response: ServerResponse, refusal: Refusal, keeping: Keeping): void {
   if (response.headersSent || response.destroyed) {
     response.destroy()
     return
@@ -196,7 +221,7 @@
     'content-length': Buffer.byteLength(body),
     [headerNames.outcome]: refusal.outcome,
     [headerNames.reason]: refusal.reason,
-    ...(unread ? { connection: 'close' } : {})
+    ...buildConnectionHeader(unread || keeping.isClosing())
   })
   response.end(body)
   if (unread) request.resume()
--- a/src/runtime/routerProgram.ts
+++ b/src/runtime/routerProgram.ts
@@ -40,6 +40,8 @@
 /** Largest HTTP/2 message taken from a peer, in bytes. */
 const maxPeerMessageBytes = 4 * 1024 * 1024
 
+/** Delay before a stop that found the queue of events full is asked for again, in milliseconds. */
+const drainAgainMs = 50
 /** Time in which peers hear that their streams have ended, in milliseconds: some round trips inside a region. */
 const farewellMs = 100
 
@@ -106,9 +108,13 @@
       case 'count': return metrics.count(effect.count)
       case 'observe-latency': return metrics.observeLatency(effect.rank, effect.ms)
       case 'log': return log(eventNumbers[effect.event], effect.event, effect.fields)
-      case 'stop': {
+      case 'end-keep-alive': return callerServer.endKeepAlive()
+      case 'close-callers': return callerServer.close(() => { post({ kind: 'callers-closed', now: timers.clock.now() }) })
+      case 'unregister': {
         unregister()
+        return
       }
+      case 'stop': return endStreams()
     }
   }
   const sendReport = (report: RouterReport) => {
@@ -116,7 +122,7 @@
     reports.send(report)
   }
   const program = startProgram<RouterState, RouterEvent, RouterEffect>({
-    state: buildRouterState(router, settings.router.zone),
+    state: buildRouterState(router, settings.router.zone, settings.router['grace-ms']),
     reduce: (state, event) => reduceRouter(state, event, rules),
     interpret
   })
@@ -147,7 +153,7 @@
   peerServer.addService(PeerService, peerService.service)
   const isReady = () => program.getState().phase === 'serving'
   const callerServer = createCallerServer({
-    clock: timers.clock,
+    timers,
     exchanges,
     post,
     idPrefix: 'c',
@@ -159,17 +165,17 @@
     isReady,
     readStatus: () => readRouterStatus(program.getState()),
     explain: (service, key) => showKey(program.getState(), service, key, rules),
-    drain: () => post({ kind: 'drain-requested', now: timers.clock.now() })
+    drain: () => drain()
   }, credentials, timers)
 
   const ports = await Promise.all([
-    listenHttp(callerServer, settings.router.listen),
+    listenHttp(callerServer.server, settings.router.listen),
     listenGrpc(peerServer, settings.router['peer-listen'], credentials.server),
     listenHttp(adminServer, settings.router['admin-listen'])
   ])
   const closePorts = () => {
-    callerServer.close()
-    callerServer.closeAllConnections()
+    callerServer.server.close()
+    callerServer.server.closeAllConnections()
     adminServer.close()
     adminServer.closeAllConnections()
     peerServer.forceShutdown()
@@ -236,13 +242,19 @@
     onStopped()
   }
   const unregister = async (): Promise<void> => {
-    callerServer.close()
     const read = await store.read(registrationKey)
     const known = read.kind === 'read' ? read.values.find(value => value.key === registrationKey) : undefined
     if (known !== undefined) await store.compareAndSwap(registrationKey, known.modRevision, undefined)
+    post({ kind: 'unregistered', now: timers.clock.now() })
+  }
+  const endStreams = () => {
     peerService.finish()
     timers.schedule(farewellMs, close)
   }
+  const drain = () => {
+    if (closed || post({ kind: 'drain-requested', now: timers.clock.now() })) return
+    timers.schedule(drainAgainMs, drain)
+  }
   register()
   log(runtimeEventNumbers.started, 'started', { router, address, peerAddress, adminAddress })
   return {
@@ -253,7 +265,7 @@
       peerAddress: peerAddress ?? '',
       adminAddress: adminAddress ?? '',
       getState: program.getState,
-      drain: () => { post({ kind: 'drain-requested', now: timers.clock.now() }) },
+      drain,
       kill: close,
       stopped
     }
--- /dev/null
+++ b/tests/routerStops.spec.ts
@@ -0,0 +1,100 @@
+import type { BackendStandin } from '../src/standins/backendStandin.js'
+import test from 'ava'
+import { connect } from 'node:net'
+import { formatServiceHost } from '../src/demo/documentTemplate.js'
+import { checkingService } from '../src/demo/localFleet.js'
+import { parseAddress } from '../src/protocol/documentText.js'
+import { call, pause, startFleet } from './support/fleet.js'
+
+const host = formatServiceHost(checkingService)
+/** Time between two callers that come to a stopping router, in milliseconds. */
+const callerGapMs = 100
+/** Time that a backend server works on a request, in milliseconds: longer than several gaps, so that something is always in flight. */
+const workMs = 300
+/** Time that the router has to stop, in milliseconds. */
+const graceMs = 5000
+/** Time after which a backend server knows that its work is not wanted any more, in milliseconds. */
+const cancelMs = 200
+
+test.serial('a stop cuts no request, though callers come on new connections until the port has closed', async t => {
+  t.timeout(120_000)
+  const { fleet, timers } = await startFleet(t, { workMs, graceMs })
+  const router = fleet.routers[0]
+  if (router === undefined) return t.fail('no router')
+  let isStopped = false
+  const calls: Array<ReturnType<typeof callAs>> = []
+  const stopCallers = timers.subscribe(callerGapMs, () => {
+    if (!isStopped) calls.push(callAs(router.address, `kept-${calls.length}`))
+  })
+  await pause(timers, 500)
+  const askedAt = timers.clock.now()
+  router.drain()
+  await router.stopped
+  const tookMs = timers.clock.now() - askedAt
+  isStopped = true
+  stopCallers()
+  const results = await Promise.all(calls)
+  await pause(timers, cancelMs)
+  const ran = listRuns(fleet.backends)
+  const cut = results.filter(result => ran.has(result.id) && (result.status !== 200 || !result.whole))
+  t.deepEqual(cut.map(result => result.status), [])
+  t.deepEqual(results.filter(result => result.headers['fulmar-outcome'] === 'unknown').map(result => result.headers['fulmar-reason']), [])
+  t.is(countCanceled(fleet.backends), 0)
+  t.true(tookMs < graceMs, `${tookMs} ms`)
+  t.true(results.some(result => result.headers['fulmar-reason'] === 'draining' && result.headers['fulmar-outcome'] === 'not-run'))
+  t.true(results.some(result => result.status === 200 && result.headers.connection === 'close'))
+})
+
+test.serial('a request whose body is still arriving when the router has nothing else to do is not run and cut', async t => {
+  const { fleet, timers } = await startFleet(t, { workMs: 600, graceMs })
+  const router = fleet.routers[0]
+  if (router === undefined) return t.fail('no router')
+  fleet.store.setFaults({ delayMs: 200 })
+  const caller = openCaller(router.address)
+  caller.socket.write(`POST /orders/1 HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: late\r\nContent-Length: 2\r\n\r\na`)
+  await pause(timers, 100)
+  router.drain()
+  t.true(await fleet.waitUntil(() => router.getState().phase !== 'serving' && router.getState().phase !== 'draining', 10_000))
+  caller.socket.write('b')
+  await router.stopped
+  await caller.closed
+  await pause(timers, cancelMs)
+  t.is(countCanceled(fleet.backends), 0)
+  t.is(listRuns(fleet.backends).has('late'), caller.text().startsWith('HTTP/1.1 200'))
+  t.regex(caller.text(), /^HTTP\/1.1 (200|503)/)
+})
+
+test.serial('a request that outlasts the time of a stop is answered with an unknown outcome, not cut', async t => {
+  const { fleet, timers } = await startFleet(t, { workMs: 10_000, graceMs: 2000 })
+  const router = fleet.routers[0]
+  if (router === undefined) return t.fail('no router')
+  const result = call(router.address, { host, method: 'PUT', path: '/photos/1', id: 'long', body: Buffer.from('a') })
+  await pause(timers, 300)
+  router.drain()
+  const { status, headers } = await result
+  t.deepEqual([status, headers['fulmar-outcome'], headers['fulmar-reason']], [503, 'unknown', 'draining'])
+  await router.stopped
+})
+
+async function callAs (address: string, id: string) {
+  return { id, ...await call(address, { host, method: 'POST', path: `/orders/${id}`, id }) }
+}
+
+function listRuns (backends: readonly BackendStandin[]): Set<string> {
+  return new Set(backends.flatMap(backend => backend.getRecords().map(record => record.requestId)))
+}
+
+function countCanceled (backends: readonly BackendStandin[]): number {
+  return backends.reduce((sum, backend) => sum + backend.getState().canceled, 0)
+}
+
+/** Opens a plain connection of a caller and collects what comes back. */
+function openCaller (address: string) {
+  const { host, port } = parseAddress(address)
+  const socket = connect(port, host)
+  const parts: Buffer[] = []
+  socket.on('data', (part: Buffer) => parts.push(part))
+  socket.on('error', () => {})
+  const closed = new Promise<void>(resolve => socket.on('close', () => resolve()))
+  return { socket, closed, text: () => Buffer.concat(parts).toString('latin1') }
+}
