A stopping router closes a caller's connection only after its answers are written

Callers that pipeline requests and read late got cut answers, or none to requests that ran. Cause: as in the gateway: the reducer and Node.js count an answer as ended when its last byte is buffered; a drain then found no work and closed the connection. Requests behind one whose answer closes the connection were passed on to backend servers.

Two requests at once while draining: before, both ran and one was answered, now only the first runs.

Why it works: followCallerConnections, now src/runtime/callerConnections.ts for gateway and router, takes a request when the one before it is answered, and tells 'callers-closed' after the last written byte. It moved unchanged but for an import.

--- a/src/runtime/gateway/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { TimerService } from '../timerService.js'
+import type { TimerService } from './timerService.js'
 import { Server as TcpServer } from 'node:net'
 
 /** Time for which connections that have just been opened may still bring a request when all are closed, in milliseconds: a round trip between regions and some processor time. */
--- a/src/runtime/callerServer.ts
+++ b/src/runtime/callerServer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { TimerService } from './timerService.js'
+import type { CallerConnections } from './callerConnections.js'
 import type { Refusal } from '../core/domain/outcome.js'
 import type { RouterEvent } from '../core/router/routerEvents.js'
 import type { AnswerSink, Exchange, ExchangeTable } from './exchange.js'
@@ -7,6 +8,7 @@
 import { statusOfReason } from '../core/domain/outcome.js'
 import { readTimeout } from '../core/router/ingress.js'
 import { headerNames } from '../protocol/grantWire.js'
+import { followCallerConnections } from './callerConnections.js'
 import { formatHeaders, listPassedHeaders } from './exchange.js'
 
 /** Part of a body that is buffered before routing, in bytes; a smaller body can be sent again. */
@@ -41,8 +43,7 @@
   server: Server
   /** From now on each answer closes its connection. */
   endKeepAlive: () => void
-  /** Takes no connection any more; calls `then` when the last has closed. */
-  close: (then: () => void) => void
+  close: CallerConnections['close']
 }
 
 /** Builds the HTTP server that callers speak to. */
@@ -51,10 +52,12 @@
   let isClosing = false
   const keeping: Keeping = { isClosing: () => isClosing }
   const server = createServer({ maxHeaderSize: maxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs })
+  const connections = followCallerConnections(server, options.timers)
   server.on('request', (request, response) => {
-    if (request.url === balancerProbePath) return answerProbe(request, response, options, keeping)
+    if (request.url === balancerProbePath) return connections.take(request, response, () => answerProbe(request, response, options, keeping))
     requests += 1
-    acceptCaller(`${options.idPrefix}${requests}`, request, response, options, keeping)
+    const id = `${options.idPrefix}${requests}`
+    connections.take(request, response, () => acceptCaller(id, request, response, options, keeping))
   })
   server.on('checkContinue', (request, response) => {
     response.writeContinue()
@@ -70,7 +73,7 @@
   return {
     server,
     endKeepAlive: () => { isClosing = true },
-    close: then => { server.close(() => then()) }
+    close: connections.close
   }
 }
 
--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -5,10 +5,10 @@
 import type { TimerService } from '../timerService.js'
 import type { GatewayExchange, GatewayExchanges } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
-import type { CallerConnections } from './callerConnections.js'
+import type { CallerConnections } from '../callerConnections.js'
 import { createServer } from 'node:http'
 import { formatHeaders, listPassedHeaders, readInto } from '../exchange.js'
-import { followCallerConnections } from './callerConnections.js'
+import { followCallerConnections } from '../callerConnections.js'
 
 /** Part of a body that is buffered before routing, in bytes; a smaller body can be sent again. */
 const bufferedBodyBytes = 512 * 1024
--- a/tests/routerStops.spec.ts
+++ b/tests/routerStops.spec.ts
@@ -76,6 +76,47 @@
   await router.stopped
 })
 
+/** Length of each answer to a caller that reads late, in bytes: small enough to be buffered at once. */
+const lateAnswerBytes = 15_000
+/** Requests of this caller on one connection: their answers exceed the buffers of a loopback connection. */
+const lateRequests = 500
+/** Time that this caller does not read, in milliseconds: beyond the end of a router that has no request in flight. */
+const unreadMs = 6000
+
+test.serial('a stop cuts no answer whose last bytes its caller has not read yet', async t => {
+  const { fleet, timers } = await startFleet(t, { checkingBackends: 6, graceMs: 20_000 })
+  const router = fleet.routers[0]
+  if (router === undefined) return t.fail('no router')
+  const caller = openCaller(router.address)
+  caller.socket.pause()
+  caller.socket.write(Array.from({ length: lateRequests }, (_, index) =>
+    `POST /orders/${index}?bytes=${lateAnswerBytes} HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: late-${index}\r\nContent-Length: 0\r\n\r\n`).join(''))
+  await pause(timers, 1000)
+  router.drain()
+  await pause(timers, unreadMs)
+  caller.socket.resume()
+  await caller.closed
+  const served = caller.text().split('HTTP/1.1 ').slice(1).filter(answer => answer.startsWith('200'))
+  t.deepEqual(served.filter(answer => !answer.endsWith('"}')).map(answer => answer.length), [])
+  t.is(served.length, listRuns(fleet.backends).size)
+  t.true(served.length > 0)
+  await router.stopped
+})
+
+test.serial('a request that came behind one whose answer closes the connection does not run', async t => {
+  const { fleet, timers } = await startFleet(t, { workMs: 200, graceMs })
+  const router = fleet.routers[0]
+  if (router === undefined) return t.fail('no router')
+  router.drain()
+  t.true(await fleet.waitUntil(() => router.getState().phase === 'draining', 1000))
+  const caller = openCaller(router.address)
+  caller.socket.write(['first', 'second'].map(id => `POST /orders/${id} HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`).join(''))
+  await caller.closed
+  await pause(timers, 300)
+  t.is(caller.text().match(/HTTP\/1.1 200/g)?.length, 1)
+  t.deepEqual([...listRuns(fleet.backends)], ['first'])
+})
+
 async function callAs (address: string, id: string) {
   return { id, ...await call(address, { host, method: 'POST', path: `/orders/${id}`, id }) }
 }
