A stopping router leaves its peers only when they have read its last answers

Callers of other routers got truncated answers, or 'peer-lost' with an unknown outcome, when the router that spoke to the backend server stopped over a slow link. Cause: a request of a peer counts as done when its last frame is buffered; 100 ms later the stop destroyed the sessions with what HTTP/2 still held. Streams on which a request was at work at that moment were passed over and cut without an end in order.

Why it works: finish takes no request from then on, ends each stream after its last answer, and calls back when the streams have closed, which peers do when they have read the end. The reducer waits for that (end-peers, peers-ended), for 2 s at most.

--- a/spec/virtualFleet.ts
+++ b/spec/virtualFleet.ts
@@ -187,6 +187,7 @@
       dropRecord(fleet, `fulmar/routers/${name}`, { kind: 'registration-removed', router: name })
       return schedule(fleet, computeLatency(fleet), () => postRouter(fleet, name, { kind: 'unregistered', now: 0 }))
     }
+    case 'end-peers': return schedule(fleet, computeLatency(fleet), () => postRouter(fleet, name, { kind: 'peers-ended', now: 0 }))
     case 'stop': {
       const router = fleet.routers.get(name)
       if (router !== undefined) router.alive = false
--- a/src/core/router/drain.ts
+++ b/src/core/router/drain.ts
@@ -22,6 +22,9 @@
 /** Longest time a stopping router waits to be replaced as a guardian, in milliseconds. */
 export const guardLimitMs = 3000
 
+/** Longest time for which peers may read the last of their streams, in milliseconds: several times that after which a silent peer is suspected. */
+const farewellLimitMs = 2000
+
 /** Starts an orderly stop. */
 export function startDrain (state: RouterState): RouterEffect[] {
   if (state.phase !== 'starting' && state.phase !== 'serving') return []
@@ -46,7 +49,7 @@
 export function advanceDrain (state: RouterState, rules: RouterRules): RouterEffect[] {
   if (state.phase !== 'draining' && state.phase !== 'closing') return []
   if (state.now >= state.drainEndsAt) return endOutOfTime(state)
-  if (state.phase === 'closing') return []
+  if (state.phase === 'closing') return state.now < state.farewellEndsAt ? [] : endDrain(state, 'drained', 0)
   const elapsed = state.now - state.drainStartedAt
   if (elapsed < drainNoticeMs) return []
   if (elapsed < guardLimitMs && isGuardian(state)) return []
@@ -63,15 +66,22 @@
   return state.phase === 'closing' ? [{ kind: 'unregister' }] : []
 }
 
-/** Ends the router once nothing names it any more. */
+/** Takes leave of the peers once nothing names this router any more. */
 export function handleUnregistered (state: RouterState): RouterEffect[] {
+  if (state.phase !== 'closing') return []
+  state.farewellEndsAt = state.now + farewellLimitMs
+  return [{ kind: 'end-peers' }]
+}
+
+/** Ends the router once its peers have read all that it answered. */
+export function handlePeersEnded (state: RouterState): RouterEffect[] {
   return state.phase === 'closing' ? endDrain(state, 'drained', 0) : []
 }
 
 /** Answers what is left when the time of the stop is up. */
 function endOutOfTime (state: RouterState): RouterEffect[] {
   const cut = state.ingress.size + [...state.egress.keys()].filter(id => !state.ingress.has(id)).length
-  return [...endUnfinished(state), ...endDrain(state, 'out-of-time', cut)]
+  return [...endUnfinished(state), { kind: 'end-peers' }, ...endDrain(state, 'out-of-time', cut)]
 }
 
 function endDrain (state: RouterState, reason: 'drained' | 'out-of-time', cut: number): RouterEffect[] {
--- a/src/core/router/reduceRouter.ts
+++ b/src/core/router/reduceRouter.ts
@@ -7,7 +7,7 @@
 import type { RouterState } from './routerState.js'
 import { acceptRequest, tickBackend } from './dispatch.js'
 import { cancelRequest, endDispatch } from './dispatchEnd.js'
-import { advanceDrain, handleCallersClosed, handleUnregistered, startDrain } from './drain.js'
+import { advanceDrain, handleCallersClosed, handlePeersEnded, handleUnregistered, startDrain } from './drain.js'
 import { applyGrantReply, renewGrants } from './grants.js'
 import { advanceHandoffs } from './handoffAdvance.js'
 import { retryLossHandoffs, retryMoves } from './wantedMoves.js'
@@ -63,6 +63,7 @@
     case 'drain-requested': return startDrain(state)
     case 'callers-closed': return handleCallersClosed(state)
     case 'unregistered': return handleUnregistered(state)
+    case 'peers-ended': return handlePeersEnded(state)
   }
 }
 
--- a/src/core/router/routerEffects.ts
+++ b/src/core/router/routerEffects.ts
@@ -96,4 +96,6 @@
   | { kind: 'close-callers' }
   /** Takes this router off the list of the fleet; `unregistered` follows. */
   | { kind: 'unregister' }
+  /** Takes no request of a peer any more and ends the streams of peers; `peers-ended` follows when they have read all. */
+  | { kind: 'end-peers' }
   | { kind: 'stop' }
--- a/src/core/router/routerEvents.ts
+++ b/src/core/router/routerEvents.ts
@@ -87,3 +87,5 @@
   | { kind: 'callers-closed', now: number }
   /** The store no longer lists this router, or can't be asked. */
   | { kind: 'unregistered', now: number }
+  /** Peers have read the last of their streams. */
+  | { kind: 'peers-ended', now: number }
--- a/src/core/router/routerState.ts
+++ b/src/core/router/routerState.ts
@@ -231,6 +231,8 @@
   noticeEndsAt: number
   /** When the router ends, whatever it has in flight. */
   drainEndsAt: number
+  /** Until when peers may read the last of their streams. */
+  farewellEndsAt: number
   resignedAt: number
 }
 
@@ -291,6 +293,7 @@
     drainStartedAt: 0,
     noticeEndsAt: Infinity,
     drainEndsAt: Infinity,
+    farewellEndsAt: Infinity,
     resignedAt: 0
   }
 }
--- a/src/runtime/peerServer.ts
+++ b/src/runtime/peerServer.ts
@@ -30,27 +30,42 @@
 export type PeerService = {
   service: PeerServer
   /**
-   * Ends the streams on which no request is at work. What a peer sent on such a stream and has
-   * no answer for was not read, and never will be.
+   * Takes no request any more and ends each stream once the last of it is answered; calls `then`
+   * when peers have read all. What a peer sent on a stream that ended in order and has no answer
+   * for was not read, and never will be.
    */
-  finish: () => void
+  finish: (then: () => void) => void
 }
 
 /** Builds the gRPC service that peers speak to. */
 export function createPeerService (options: PeerServerOptions): PeerService {
   let count = 0
   const streams = new Set<StreamHandler>()
+  let isFinishing = false
+  let onFinished: (() => void) | undefined
+  const checkFinished = () => {
+    if (streams.size > 0) return
+    onFinished?.()
+    onFinished = undefined
+  }
   return {
     service: {
       exchange: stream => {
         count += 1
         const handler = handleStream(stream, `p${count}:`, options)
         streams.add(handler)
-        stream.on('close', () => streams.delete(handler))
+        if (isFinishing) handler.finish()
+        stream.on('close', () => {
+          streams.delete(handler)
+          checkFinished()
+        })
       }
     },
-    finish: () => {
+    finish: then => {
+      isFinishing = true
+      onFinished = then
       for (const handler of streams) handler.finish()
+      checkFinished()
     }
   }
 }
@@ -59,11 +74,14 @@
 
 function handleStream (stream: Stream, prefix: string, options: PeerServerOptions): StreamHandler {
   const incoming = new Map<number, Incoming>()
-  let isFinished = false
+  let isFinishing = false
   let peer = ''
+  const endIfDone = () => {
+    if (isFinishing && incoming.size === 0) stream.end()
+  }
   const now = () => options.timers.clock.now()
   stream.on('data', (frame: Frame) => {
-    if (isFinished) return
+    if (stream.writableEnded) return
     const body = frame.body
     if (body === undefined) {
       options.reportRubbish(peer, 'frame without a body')
@@ -88,7 +106,8 @@
       options.post({ kind: 'control-received', now: now(), from: peer, message: control })
       return
     }
-    handleRequestFrame(stream, prefix, peer, frame.id, body, incoming, options)
+    if (isFinishing && body.$case === 'request') return
+    handleRequestFrame(stream, prefix, peer, frame.id, body, incoming, endIfDone, options)
   })
   const end = () => {
     for (const { exchange, body } of incoming.values()) {
@@ -108,9 +127,8 @@
   })
   return {
     finish: () => {
-      if (incoming.size > 0) return
-      isFinished = true
-      stream.end()
+      isFinishing = true
+      endIfDone()
     }
   }
 }
@@ -122,12 +140,13 @@
   id: number,
   body: FrameBody,
   incoming: Map<number, Incoming>,
+  onRelease: () => void,
   options: PeerServerOptions
 ): void {
   const known = incoming.get(id)
   switch (body.$case) {
     case 'request': {
-      acceptRequest(stream, `${prefix}${id}`, peer, id, body.request, incoming, options)
+      acceptRequest(stream, `${prefix}${id}`, peer, id, body.request, incoming, onRelease, options)
       return
     }
     case 'chunk': {
@@ -145,6 +164,7 @@
       options.exchanges.delete(known.exchange.id)
       options.post({ kind: 'peer-canceled', now: options.timers.clock.now(), id: known.exchange.id })
       known.exchange.cancelDispatch?.()
+      onRelease()
       return
     }
     default: options.reportRubbish(peer, `unexpected ${body.$case}`)
@@ -158,10 +178,13 @@
   id: number,
   head: Extract<FrameBody, { $case: 'request' }>['request'],
   incoming: Map<number, Incoming>,
+  onRelease: () => void,
   options: PeerServerOptions
 ): void {
   const request = decodeRequest(head)
-  const send = (frameId: number, body: FrameBody) => { stream.write({ id: frameId, body }) }
+  const send = (frameId: number, body: FrameBody) => {
+    if (!stream.writableEnded) stream.write({ id: frameId, body })
+  }
   if (request === undefined) {
     options.reportRubbish(peer, 'malformed request head')
     send(id, { $case: 'refusal', refusal: encodeRefusal({ outcome: 'not-run', reason: 'bad-request' }) })
@@ -170,6 +193,7 @@
   const release = () => {
     incoming.delete(id)
     options.exchanges.delete(exchangeId)
+    onRelease()
   }
   const answer = createCreditedWriter(id, send, streamWindowBytes)
   const body = head.end ? undefined : createCreditedReader(id, send, streamWindowBytes)
@@ -180,8 +204,8 @@
     rest: body?.stream,
     sink: buildSink(id, send, answer),
     refuse: refusal => {
-      release()
       send(id, { $case: 'refusal', refusal: encodeRefusal(refusal) })
+      release()
     },
     finish: release,
     cancelDispatch: undefined,
--- a/src/runtime/routerProgram.ts
+++ b/src/runtime/routerProgram.ts
@@ -42,8 +42,8 @@
 
 /** Delay before a stop that found the queue of events full is asked for again, in milliseconds. */
 const drainAgainMs = 50
-/** Time in which peers hear that their streams have ended, in milliseconds: some round trips inside a region. */
-const farewellMs = 100
+/** Time in which answers that say that a request was cut leave the process, in milliseconds: some round trips inside a region. */
+const lastWritesMs = 100
 
 /** A running router. */
 export type RunningRouter = {
@@ -114,7 +114,11 @@
         unregister()
         return
       }
-      case 'stop': return endStreams()
+      case 'end-peers': return peerService.finish(() => { post({ kind: 'peers-ended', now: timers.clock.now() }) })
+      case 'stop': {
+        // What this turn answered is written first.
+        timers.schedule(lastWritesMs, close)
+      }
     }
   }
   const sendReport = (report: RouterReport) => {
@@ -247,10 +251,6 @@
     if (known !== undefined) await store.compareAndSwap(registrationKey, known.modRevision, undefined)
     post({ kind: 'unregistered', now: timers.clock.now() })
   }
-  const endStreams = () => {
-    peerService.finish()
-    timers.schedule(farewellMs, close)
-  }
   const drain = () => {
     if (closed || post({ kind: 'drain-requested', now: timers.clock.now() })) return
     timers.schedule(drainAgainMs, drain)
--- a/tests/peerStreams.spec.ts
+++ b/tests/peerStreams.spec.ts
@@ -1,10 +1,12 @@
 import type { ExecutionContext } from 'ava'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Refusal } from '../src/core/domain/outcome.js'
 import type { Exchange, ExchangeTable } from '../src/runtime/exchange.js'
 import type { PeerRequest, RouterEvent } from '../src/core/router/routerEvents.js'
 import test from 'ava'
 import { anyUnit } from '../src/core/router/backends.js'
 import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
+import { connect, createServer } from 'node:net'
 import { PeerService } from '../src/protocol/gen/peer.js'
 import { systemClock } from '../src/runtime/clock.js'
 import { createPeerLinks } from '../src/runtime/peerClient.js'
@@ -28,8 +30,29 @@
 
 const request: PeerRequest = { service: 'catalogue', key: 'k', unit: anyUnit, owner: 'backend-1', epoch: 1, rank: 'lookup', idempotent: true, deadlineMs: 1000, replayable: true }
 
+/** Passes a connection on, and holds back what the server sends while asked to. */
+async function startSlowLink (t: ExecutionContext, port: number) {
+  const upstreams: Socket[] = []
+  const link = createServer(socket => {
+    const upstream = connect(port, '127.0.0.1')
+    upstreams.push(upstream)
+    socket.on('error', () => upstream.destroy())
+    upstream.on('error', () => socket.destroy())
+    socket.pipe(upstream)
+    upstream.on('data', (part: Buffer) => socket.write(part))
+    upstream.on('close', () => socket.end())
+  })
+  await new Promise<void>(resolve => link.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => { link.close() })
+  return {
+    port: (link.address() as AddressInfo).port,
+    hold: () => { for (const upstream of upstreams) upstream.pause() },
+    resume: () => { for (const upstream of upstreams) upstream.resume() }
+  }
+}
+
 /** A server for peers and a router that is linked to it by one stream with a request at work. */
-async function startPair (t: ExecutionContext) {
+async function startPair (t: ExecutionContext, first = buildExchange('first')) {
   const timers = createTimerService(systemClock)
   const exchanges: ExchangeTable = new Map()
   const refusals = new Map<string, Refusal>()
@@ -39,27 +62,28 @@
   const port = await new Promise<number>((resolve, reject) => {
     server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, bound) => error === null ? resolve(bound) : reject(error))
   })
+  const link = await startSlowLink(t, port)
   const post = (event: RouterEvent) => {
     if (event.kind === 'forward-refused') refusals.set(event.id, event.refusal)
     return true
   }
   const links = createPeerLinks({ self: 'a', credentials: credentials.createInsecure(), timers, post })
-  links.connect([{ router: 'b', address: `127.0.0.1:${port}`, adminAddress: '', zone: 'zone-1', generation: 1, successor: undefined, witness: undefined, pivot: undefined }])
+  links.connect([{ router: 'b', address: `127.0.0.1:${link.port}`, adminAddress: '', zone: 'zone-1', generation: 1, successor: undefined, witness: undefined, pivot: undefined }])
   t.teardown(() => {
     links.close()
     server.forceShutdown()
     timers.close()
   })
-  links.forward(buildExchange('first'), 'b', request)
+  links.forward(first, 'b', request)
   await waitFor(() => exchanges.size === 1, 2000)
-  return { service, server, links, exchanges, refusals }
+  return { service, server, link, links, exchanges, refusals }
 }
 
 test('a request that reaches a router while it ends its streams in order is known not to have run', async t => {
   const { service, links, exchanges, refusals } = await startPair(t)
   for (const exchange of exchanges.values()) exchange.refuse({ outcome: 'not-run', reason: 'queue-full' })
   await waitFor(() => refusals.has('first'), 2000)
-  service.finish()
+  service.finish(() => {})
   links.forward(buildExchange('late'), 'b', request)
   await waitFor(() => refusals.has('late'), 2000)
   t.is(refusals.get('late')?.outcome, 'not-run')
@@ -67,10 +91,52 @@
 
 test('a stream with a request at work is not ended in order; when it breaks, nothing is known of the request', async t => {
   const { service, server, refusals } = await startPair(t)
-  service.finish()
+  service.finish(() => {})
   await new Promise(resolve => setTimeout(resolve, 100))
   t.is(refusals.size, 0)
   server.forceShutdown()
   await waitFor(() => refusals.has('first'), 2000)
   t.is(refusals.get('first')?.outcome, 'unknown')
 })
+
+test('a stream that was asked to end with a request at work ends in order after its answer', async t => {
+  const { service, links, exchanges, refusals } = await startPair(t)
+  let isFinished = false
+  service.finish(() => { isFinished = true })
+  links.forward(buildExchange('late'), 'b', request)
+  await new Promise(resolve => setTimeout(resolve, 100))
+  t.false(isFinished)
+  t.is(exchanges.size, 1)
+  for (const exchange of exchanges.values()) exchange.refuse({ outcome: 'not-run', reason: 'queue-full' })
+  await waitFor(() => refusals.has('late') && isFinished, 2000)
+  t.is(refusals.get('first')?.reason, 'queue-full')
+  t.is(refusals.get('late')?.outcome, 'not-run')
+})
+
+/** Length of an answer that is more than HTTP/2 sends to a peer that reads nothing, and less than its credit, in bytes. */
+const heldAnswerBytes = 200_000
+/** Time that a link holds back what a router answers, in milliseconds: beyond that which a router kept for its farewell. */
+const heldMs = 400
+
+test('peers have read the last answer before streams count as ended', async t => {
+  let received = 0
+  let result = ''
+  const first = buildExchange('first')
+  const { service, server, link, exchanges } = await startPair(t, {
+    ...first,
+    sink: { ...first.sink, write: (part, then) => { received += part.length; then() } },
+    finish: ended => { result = ended }
+  })
+  link.hold()
+  for (const exchange of exchanges.values()) {
+    exchange.sink.start(200, [])
+    exchange.sink.write(Buffer.alloc(heldAnswerBytes), () => {})
+    exchange.sink.end()
+    exchange.finish('complete')
+  }
+  service.finish(() => server.forceShutdown())
+  await new Promise(resolve => setTimeout(resolve, heldMs))
+  link.resume()
+  await waitFor(() => result !== '', 2000)
+  t.deepEqual([result, received], ['complete', heldAnswerBytes])
+})
