--- a/src/runtime/callerServer.ts
+++ b/src/runtime/callerServer.ts
@@ -1,12 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { TimerService } from './timerService.js'
+import type { CallerConnections } from './callerConnections.js'
 import type { Refusal } from '../core/domain/outcome.js'
 import type { RouterEvent } from '../core/router/routerEvents.js'
-import type { Clock } from './clock.js'
 import type { AnswerSink, Exchange, ExchangeTable } from './exchange.js'
 import { createServer } from 'node:http'
 import { statusOfReason } from '../core/domain/outcome.js'
 import { readTimeout } from '../core/router/ingress.js'
 import { headerNames } from '../protocol/grantWire.js'
+import { followCallerConnections } from './callerConnections.js'
 import { formatHeaders, listPassedHeaders } from './exchange.js'
 
 /** Part of a body that is buffered before routing, in bytes; a smaller body can be sent again. */
@@ -25,7 +27,7 @@
 
 /** What the server for callers needs. */
 export type CallerServerOptions = {
-  clock: Clock
+  timers: TimerService
   exchanges: ExchangeTable
   post: (event: RouterEvent) => boolean
   /** Counts a request that is refused before it reaches the reducer. */
@@ -36,19 +38,26 @@
   idPrefix: string
 }
 
+/** The HTTP side towards callers. */
+export type CallerServer = {
+  server: Server
+  /** From now on each answer closes its connection. */
+  endKeepAlive: () => void
+  close: CallerConnections['close']
+}
+
 /** Builds the HTTP server that callers speak to. */
-export function createCallerServer (options: CallerServerOptions): Server {
+export function createCallerServer (options: CallerServerOptions): CallerServer {
   let requests = 0
+  let isClosing = false
+  const keeping: Keeping = { isClosing: () => isClosing }
   const server = createServer({ maxHeaderSize: maxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs })
+  const connections = followCallerConnections(server, options.timers)
   server.on('request', (request, response) => {
-    if (request.url === balancerProbePath) {
-      request.resume()
-      response.writeHead(options.isReady() ? 200 : 503, { 'content-length': 0 })
-      response.end()
-      return
-    }
+    if (request.url === balancerProbePath) return connections.take(request, response, () => answerProbe(request, response, options, keeping))
     requests += 1
-    acceptCaller(`${options.idPrefix}${requests}`, request, response, options)
+    const id = `${options.idPrefix}${requests}`
+    connections.take(request, response, () => acceptCaller(id, request, response, options, keeping))
   })
   server.on('checkContinue', (request, response) => {
     response.writeContinue()
@@ -61,15 +70,32 @@
     const status = oversized ? '431 Request Header Fields Too Large' : '400 Bad Request'
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\nfulmar-outcome: not-run\r\n\r\n`)
   })
-  return server
+  return {
+    server,
+    endKeepAlive: () => { isClosing = true },
+    close: connections.close
+  }
+}
+
+/** Whether answers close their connections. */
+type Keeping = { isClosing: () => boolean }
+
+function buildConnectionHeader (closes: boolean): Record<string, string> {
+  return closes ? { connection: 'close' } : {}
+}
+
+function answerProbe (request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, keeping: Keeping): void {
+  request.resume()
+  response.writeHead(options.isReady() ? 200 : 503, { 'content-length': 0, ...buildConnectionHeader(keeping.isClosing()) })
+  response.end()
 }
 
-function acceptCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions): void {
+function acceptCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, keeping: Keeping): void {
   response.on('error', () => {})
   request.on('error', () => {})
   if (hasNoBody(request)) {
     request.resume()
-    startExchange(id, request, response, Buffer.alloc(0), true, options)
+    startExchange(id, request, response, Buffer.alloc(0), true, options, keeping)
     return
   }
   readFirstPart(request, (first, ended) => {
@@ -78,7 +104,7 @@
       response.destroy()
       return
     }
-    startExchange(id, request, response, first, ended, options)
+    startExchange(id, request, response, first, ended, options, keeping)
   })
 }
 
@@ -118,19 +144,20 @@
   response: ServerResponse,
   first: Buffer,
   ended: boolean,
-  options: CallerServerOptions
+  options: CallerServerOptions,
+  keeping: Keeping
 ): void {
-  const now = () => options.clock.now()
+  const now = () => options.timers.clock.now()
   const release = () => options.exchanges.delete(id)
   const exchange: Exchange = {
     id,
     http: { method: request.method ?? 'GET', path: request.url ?? '/', headers: listPassedHeaders(request.rawHeaders, false) },
     first,
     rest: ended ? undefined : request,
-    sink: buildSink(id, response, options),
+    sink: buildSink(id, response, options, keeping),
     refuse: refusal => {
       release()
-      writeRefusal(request, response, refusal)
+      writeRefusal(request, response, refusal, keeping)
     },
     finish: result => {
       release()
@@ -165,11 +192,12 @@
   exchange.refuse({ outcome: 'not-run', reason: 'not-ready' })
 }
 
-function buildSink (id: string, response: ServerResponse, options: CallerServerOptions): AnswerSink {
+function buildSink (id: string, response: ServerResponse, options: CallerServerOptions, keeping: Keeping): AnswerSink {
   return {
     start: (status, headers) => {
-      options.post({ kind: 'answer-started', now: options.clock.now(), id })
-      response.writeHead(status, formatHeaders(headers))
+      options.post({ kind: 'answer-started', now: options.timers.clock.now(), id })
+      const pairs = keeping.isClosing() ? [...headers, { name: 'connection', value: 'close' }] : headers
+      response.writeHead(status, formatHeaders(pairs))
     },
     write: (part, then) => {
       if (response.write(part)) then()
@@ -178,13 +206,13 @@
     end: () => response.end(),
     abort: () => {
       if (response.headersSent) response.destroy()
-      else writeRefusal(undefined, response, { outcome: 'unknown', reason: 'backend-failed' })
+      else writeRefusal(undefined, response, { outcome: 'unknown', reason: 'backend-failed' }, keeping)
     }
   }
 }
 
 /** Tells a caller that its request was refused, whether it ran, and why. */
-function writeRefusal (request: IncomingMessage | undefined, response: ServerResponse, refusal: Refusal): void {
+function writeRefusal (request: IncomingMessage | undefined, response: ServerResponse, refusal: Refusal, keeping: Keeping): void {
   if (response.headersSent || response.destroyed) {
     response.destroy()
     return
@@ -196,7 +224,7 @@
     'content-length': Buffer.byteLength(body),
     [headerNames.outcome]: refusal.outcome,
     [headerNames.reason]: refusal.reason,
-    ...(unread ? { connection: 'close' } : {})
+    ...buildConnectionHeader(unread || keeping.isClosing())
   })
   response.end(body)
   if (unread) request.resume()
