Bound the farewell of a stopping router by a test; cancel answers of peers that it cuts

A peer that reads nothing holds up a stop for 2 s at most: now tested on the reducer. When the time of a stop is up, answers that come over a peer are canceled there as well, not only requests that wait for one; callers see the same.

--- a/src/core/router/ingress.ts
+++ b/src/core/router/ingress.ts
@@ -279,7 +279,7 @@
 export function endUnfinished (state: RouterState): RouterEffect[] {
   const effects: RouterEffect[] = []
   for (const request of [...state.ingress.values()]) {
-    if (request.phase === 'forwarded' && request.peer !== undefined) effects.push({ kind: 'cancel-forward', id: request.id, peer: request.peer })
+    if (request.phase !== 'waiting' && request.peer !== undefined) effects.push({ kind: 'cancel-forward', id: request.id, peer: request.peer })
     effects.push(...cancelRequest(state, request.id))
     effects.push(...refuseCaller(state, request, { outcome: request.phase === 'waiting' ? 'not-run' : 'unknown', reason: 'draining' }))
   }
--- a/tests/routerStops.spec.ts
+++ b/tests/routerStops.spec.ts
@@ -1,6 +1,10 @@
 import type { BackendStandin } from '../src/standins/backendStandin.js'
+import type { RouterEvent } from '../src/core/router/routerEvents.js'
 import test from 'ava'
 import { connect } from 'node:net'
+import { buildDefaultRules } from '../src/core/router/defaultRules.js'
+import { reduceRouter } from '../src/core/router/reduceRouter.js'
+import { buildRouterState } from '../src/core/router/routerState.js'
 import { formatServiceHost } from '../src/demo/documentTemplate.js'
 import { checkingService } from '../src/demo/localFleet.js'
 import { parseAddress } from '../src/protocol/documentText.js'
@@ -117,6 +121,19 @@
   t.deepEqual([...listRuns(fleet.backends)], ['first'])
 })
 
+test('a peer that reads nothing does not hold up a stop', t => {
+  const rules = buildDefaultRules(() => 0)
+  const state = buildRouterState('router-1', 'tbilisi-1')
+  const post = (event: RouterEvent) => reduceRouter(state, event, rules).effects.map(effect => effect.kind)
+  post({ kind: 'drain-requested', now: 0 })
+  post({ kind: 'tick', now: 600 })
+  t.true(post({ kind: 'tick', now: 620 }).includes('close-callers'))
+  t.deepEqual(post({ kind: 'callers-closed', now: 700 }), ['unregister'])
+  t.deepEqual(post({ kind: 'unregistered', now: 800 }), ['end-peers'])
+  t.false(post({ kind: 'tick', now: 2700 }).includes('stop'))
+  t.true(post({ kind: 'tick', now: 2820 }).includes('stop'))
+})
+
 async function callAs (address: string, id: string) {
   return { id, ...await call(address, { host, method: 'POST', path: `/orders/${id}`, id }) }
 }
