Follow a lost router whose newest guardians never heard of it

Callers saw: 503 not-holder for every key of a lost router's backend servers, for ever (55 of 80 probes in the history; still so 80 s of virtual time after the last fault, so the check was not too early). Decision at fault: the controller's `findRescuer`. `findRescuer` saw a living successor and a living witness in the record and left the take-over to them.

Mend: a router that the platform lists as gone, and of which every living router has reported since without a take-over, is followed by its named successor. The successor of the set before can only be in the way while it is stopping (it left the fleet otherwise, and then has no lease), so the controller waits while a router stops, and for the reports after that, 60 s at most (`drainLimitMs`). A lost router's guardians are no longer replaced, which bounds that wait.

--- a/src/core/controller/planAssignment.ts
+++ b/src/core/controller/planAssignment.ts
@@ -3,7 +3,8 @@
 import type { ControllerState } from './controllerState.js'
 import type { ControllerRules } from './rules.js'
 import { findStoredEntry, formatRangeUnit, holderEpochBlock } from '../domain/assignment.js'
-import { isConfirmedGone, listSuccessions } from './planFleet.js'
+import { drainLimitMs } from '../router/drain.js'
+import { findGoneSince, goneConfirmMs, isConfirmedGone, isDraining, listSuccessions } from './planFleet.js'
 import { planBalance } from './planBalance.js'
 import { planHolders } from './planHolders.js'
 
@@ -101,8 +102,7 @@
 
 /**
  * Replaces holders that nobody could succeed: the router stopped without a
- * successor's answer, or the platform lists it as gone together with its
- * successor or witness.
+ * successor's answer, or the platform lists it as gone and no guardian follows it.
  */
 function replaceLostHolders (state: ControllerState, next: Assignment): boolean {
   let changed = false
@@ -123,9 +123,23 @@
   if (entry === undefined) return undefined
   const successorGone = entry.successor === undefined || isAbsent(state, entry.successor)
   const witnessGone = entry.witness !== undefined && isAbsent(state, entry.witness)
-  if (!successorGone && !witnessGone) return undefined
-  if (!successorGone) return entry.successor
-  return findAlive(state, holder.router)
+  if (successorGone) return findAlive(state, holder.router)
+  return witnessGone || !isTakeOverOpen(state, holder.router) ? entry.successor : undefined
+}
+
+/**
+ * Tells whether somebody may still take over from a lost router by its lease. Its named successor
+ * doesn't when it never heard of its ward: the router was lost before it followed a new guardian
+ * set. The successor of the set before may, as long as it is stopping.
+ */
+function isTakeOverOpen (state: ControllerState, lost: string): boolean {
+  const goneSince = findGoneSince(state, lost)
+  if (goneSince === undefined) return true
+  const confirmedAt = goneSince + goneConfirmMs
+  const stoppedBy = confirmedAt + drainLimitMs
+  if (state.now < stoppedBy && listLiving(state).some(router => isDraining(state, router))) return true
+  const stops = [...state.removedAt.values()].filter(at => at < stoppedBy)
+  return !hasEveryReportSince(state, Math.max(confirmedAt, ...stops))
 }
 
 /**
@@ -136,22 +150,20 @@
   const successor = state.fleet.routers.get(router)?.successor
   const canFollow = successor !== undefined && state.fleet.routers.has(successor) && !isConfirmedGone(state, successor)
   if (canFollow) return successor
-  return hasEveryReport(state, router) ? findAlive(state, router) : undefined
+  return hasEveryReportSince(state, state.removedAt.get(router) ?? state.now) ? findAlive(state, router) : undefined
 }
 
-/** Tells whether every living router reported since a router stopped, so that any take-over of it is known. */
-function hasEveryReport (state: ControllerState, stopped: string): boolean {
-  const since = state.removedAt.get(stopped) ?? state.now
-  for (const router of state.fleet.routers.keys()) {
-    if (!state.registrations.has(router) || isConfirmedGone(state, router)) continue
-    if ((state.reports.get(router)?.at ?? -Infinity) <= since) return false
-  }
-  return true
+/** Tells whether every living router reported since a moment, so that any take-over before it is known. */
+function hasEveryReportSince (state: ControllerState, since: number): boolean {
+  return listLiving(state).every(router => (state.reports.get(router)?.at ?? -Infinity) > since)
 }
 
 function findAlive (state: ControllerState, except: string): string | undefined {
-  const names = [...state.fleet.routers.keys()]
-  return names.find(name => name !== except && state.registrations.has(name) && !isConfirmedGone(state, name))
+  return listLiving(state).find(name => name !== except)
+}
+
+function listLiving (state: ControllerState): string[] {
+  return [...state.fleet.routers.keys()].filter(name => state.registrations.has(name) && !isConfirmedGone(state, name))
 }
 
 function isAbsent (state: ControllerState, router: string): boolean {
--- a/src/core/controller/planFleet.ts
+++ b/src/core/controller/planFleet.ts
@@ -43,12 +43,17 @@
 
 /** Tells whether the platform has listed a router's host as gone for long enough. */
 export function isConfirmedGone (state: ControllerState, router: string): boolean {
-  const address = state.fleet.routers.get(router)?.address
-  if (address === undefined) return false
-  const since = state.goneSince.get(address) ?? state.goneSince.get(address.slice(0, address.lastIndexOf(':')))
+  const since = findGoneSince(state, router)
   return since !== undefined && state.now - since >= goneConfirmMs
 }
 
+/** Finds when the platform first listed a router's host as gone. */
+export function findGoneSince (state: ControllerState, router: string): number | undefined {
+  const address = state.fleet.routers.get(router)?.address
+  if (address === undefined) return undefined
+  return state.goneSince.get(address) ?? state.goneSince.get(address.slice(0, address.lastIndexOf(':')))
+}
+
 function isHolder (state: ControllerState, router: string): boolean {
   for (const assignment of state.assignments.values()) {
     for (const holder of assignment.holders.values()) {
@@ -78,7 +83,7 @@
 /**
  * Completes the guardians of a router. One guardian at most is replaced at a
  * time, and only after the router reported the current generation, so that the
- * kept one (the pivot) links the two generations.
+ * kept one (the pivot) links the two generations. A lost router keeps the set that may know it.
  */
 function chooseGuardians (state: ControllerState, routers: Map<string, RouterEntry>, entry: RouterEntry): boolean {
   const others = [...routers.values()].filter(other => other.router !== entry.router && !isDraining(state, other.router))
@@ -88,7 +93,7 @@
   const witness = keepGuardian(state, routers, entry.witness, room)
   const isComplete = successor !== undefined && (witness !== undefined || others.length < 2)
   const isFresh = entry.generation === 0
-  if (isComplete) return false
+  if (isComplete || isConfirmedGone(state, entry.router)) return false
   if (!isFresh && others.length === 0 && entry.successor === undefined) return false
   if (!isFresh && state.reports.get(entry.router)?.report.generation !== entry.generation) return false
   const candidates = new Map([...routers].filter(([name]) => !isDraining(state, name)))
@@ -114,7 +119,8 @@
   return isDraining(state, name) && others >= 2 ? undefined : name
 }
 
-function isDraining (state: ControllerState, router: string): boolean {
+/** Tells whether a router said that it stops. */
+export function isDraining (state: ControllerState, router: string): boolean {
   return state.reports.get(router)?.report.draining === true
 }
 
--- a/tests/ownershipHistories.spec.ts
+++ b/tests/ownershipHistories.spec.ts
@@ -58,3 +58,15 @@
   ], 986, rules)
   t.is(result.refusedButRan, 0)
 })
+
+test('keys of a router lost before it followed its new guardians are served again', async t => {
+  const rules = await loadRules()
+  const result = runHistory([
+    { kind: 'pause-router', index: 2, ms: 324 },
+    { kind: 'lose-messages', share: 0.1 },
+    { kind: 'kill-router', index: 5 },
+    { kind: 'wait', ms: 286 },
+    { kind: 'load', count: 5, spread: 18 }
+  ], 550, rules)
+  t.deepEqual(listBroken(result), [])
+})
