Cut an answer that is given up as it begins, and tell peers' refusals apart

Callers saw: an answer over a hop that begins and then hangs for ever; other callers of the same router lost their connections, since the router's process ended with ERR_HTTP_HEADERS_SENT ("Cannot write headers after they are sent"). Cause: events wait for the reducer. After 250 ms of silence a peer is reported down from a timer; in the same turn of the event loop its answer arrives and starts at the caller; then the reducer hears of the silence, cancels the forward and sends the request elsewhere. The first answer's frames then found no forward (hang: nobody ends it, and its deadline is over for the reducer), or the second answer began on the same response (crash). A refusal that waited behind the peer's loss was likewise taken for that of the next peer, after which the next peer's answer began on a response that was over. Ruled out: credits (none was due), the streams' end (no stream ended), two links to one peer (the requests were of one rank). Now a forward that is canceled after its answer began cuts that answer at once and finishes the exchange, so that nothing else can answer it; and a refusal names its peer, and counts only for a request that is forwarded there.

--- a/spec/virtualFleet.ts
+++ b/spec/virtualFleet.ts
@@ -276,7 +276,7 @@
   if (isCut(fleet, known.peer, known.origin)) return
   fleet.forwards.delete(egressId)
   fleet.currentForward.delete(known.id)
-  postRouter(fleet, known.origin, { kind: 'forward-refused', now: 0, id: known.id, refusal })
+  postRouter(fleet, known.origin, { kind: 'forward-refused', now: 0, id: known.id, peer: known.peer, refusal })
 }
 
 function cancelForward (fleet: VirtualFleet, id: string): void {
--- a/src/core/router/ingress.ts
+++ b/src/core/router/ingress.ts
@@ -11,6 +11,7 @@
 import { findRoute, readKey } from './routes.js'
 
 type CallerRequested = Extract<RouterEvent, { kind: 'caller-request' }>
+type ForwardRefused = Extract<RouterEvent, { kind: 'forward-refused' }>
 
 /** Longest key, in characters. */
 const maxKeyLength = 512
@@ -129,6 +130,13 @@
   return [{ kind: 'count', count: { metric: 'retries', reason } }]
 }
 
+/** Applies a peer's refusal, unless the request went another way before it was heard. */
+export function applyPeerRefusal (state: RouterState, event: ForwardRefused, rules: RouterRules): RouterEffect[] {
+  const request = state.ingress.get(event.id)
+  if (request?.phase !== 'forwarded' || request.peer !== event.peer) return []
+  return applyIngressRefusal(state, event.id, event.refusal, rules)
+}
+
 /** Decides whether a refused request is routed again or its caller is told. */
 export function applyIngressRefusal (
   state: RouterState,
--- a/src/core/router/reduceRouter.ts
+++ b/src/core/router/reduceRouter.ts
@@ -14,7 +14,7 @@
 import { applyAssume, applyAssumeReply } from './handoffAssume.js'
 import { advanceHolderMoves, applyHolderMoved, applyHolderMovedReply } from './holderMove.js'
 import { applyHosts } from './hosts.js'
-import { applyCallerRequest, applyIngressRefusal, cancelCaller, endAnswer, retryForwarded, retryWaiting, startAnswer, tickIngress } from './ingress.js'
+import { applyCallerRequest, applyIngressRefusal, applyPeerRefusal, cancelCaller, endAnswer, retryForwarded, retryWaiting, startAnswer, tickIngress } from './ingress.js'
 import { applyRenewReply, renewLease, watchLease } from './lease.js'
 import { applyRecord } from './records.js'
 import { sendReportIfDue } from './report.js'
@@ -50,7 +50,7 @@
       return []
     }
     case 'answer-finished': return endAnswer(state, event.id, event.result)
-    case 'forward-refused': return applyIngressRefusal(state, event.id, event.refusal, rules)
+    case 'forward-refused': return applyPeerRefusal(state, event, rules)
     case 'caller-gone': return cancelCaller(state, event.id)
     case 'peer-canceled': return cancelRequest(state, event.id)
     case 'tick': return applyTick(state, rules)
--- a/src/core/router/routerEvents.ts
+++ b/src/core/router/routerEvents.ts
@@ -74,7 +74,7 @@
   | { kind: 'caller-gone', now: number, id: string }
   | { kind: 'answer-started', now: number, id: string }
   | { kind: 'answer-finished', now: number, id: string, result: AnswerResult }
-  | { kind: 'forward-refused', now: number, id: string, refusal: Refusal }
+  | { kind: 'forward-refused', now: number, id: string, peer: string, refusal: Refusal }
   | { kind: 'peer-up', now: number, router: string }
   | { kind: 'peer-down', now: number, router: string }
   | { kind: 'peer-request', now: number, id: string, request: PeerRequest }
--- a/src/runtime/peerClient.ts
+++ b/src/runtime/peerClient.ts
@@ -29,6 +29,7 @@
 
 /** One forwarded request on a stream. */
 type Forward = {
+  peer: string
   exchange: Exchange
   body: CreditedWriter | undefined
   answer: CreditedReader | undefined
@@ -89,7 +90,7 @@
   }
   const refuse = (forward: Forward, refusal: Refusal) => {
     forward.exchange.cancelForward = undefined
-    post({ kind: 'forward-refused', now: now(), id: forward.exchange.id, refusal })
+    post({ kind: 'forward-refused', now: now(), id: forward.exchange.id, peer: forward.peer, refusal })
   }
   const failLink = (link: Link, isFinished: boolean) => {
     // A peer that ends its stream in order has read nothing that it leaves without an answer.
@@ -167,7 +168,7 @@
       const link = findLink(peer, request.rank === 'upload' ? 'bulk' : 'interactive')
       if (link === undefined) {
         const refusal: Refusal = { outcome: 'not-run', reason: 'peer-unreachable' }
-        post({ kind: 'forward-refused', now: now(), id: exchange.id, refusal })
+        post({ kind: 'forward-refused', now: now(), id: exchange.id, peer, refusal })
         return
       }
       startForward(link, exchange, request, (id, body) => send(link, id, body))
@@ -259,12 +260,17 @@
   const id = link.nextId
   link.nextId = id === 0xffffffff ? 1 : id + 1
   const rest = exchange.rest
-  const forward: Forward = { exchange, body: undefined, answer: undefined, answered: false }
+  const forward: Forward = { peer: link.peer, exchange, body: undefined, answer: undefined, answered: false }
   link.forwards.set(id, forward)
   exchange.cancelForward = () => {
     if (link.forwards.get(id) !== forward) return
     link.forwards.delete(id)
     send(id, { $case: 'cancel', cancel: {} })
+    if (!forward.answered) return
+    // The reducer has not heard yet that the answer began; nothing can take that answer's place.
+    exchange.sink.abort()
+    exchange.finish('truncated')
+    forward.answer?.stream.destroy()
   }
   send(id, { $case: 'request', request: encodeRequest(request, exchange.http, exchange.first, rest === undefined) })
   if (rest === undefined) return
--- a/tests/peerStreams.spec.ts
+++ b/tests/peerStreams.spec.ts
@@ -129,3 +129,28 @@
   ), { seed: 1, numRuns: 60, endOnFailure: true })
   t.is(pair.exchanges.size, 1, 'only the first request is left')
 })
+
+test('an answer that is given up as it begins is cut, so that it neither hangs nor begins twice', async t => {
+  const { links, exchanges } = await startPair(t)
+  const calls: string[] = []
+  const caller = buildExchange('caller')
+  caller.sink = {
+    start: () => { calls.push('start') },
+    write: (part, then) => {
+      calls.push(`write ${part.length}`)
+      then()
+    },
+    end: () => { calls.push('end') },
+    abort: () => { calls.push('abort') }
+  }
+  caller.finish = result => { calls.push(result) }
+  links.forward(caller, 'b', request)
+  await waitFor(() => exchanges.size === 2, 2000)
+  const exchange = [...exchanges.values()].at(-1)
+  exchange?.sink.start(200, [])
+  exchange?.sink.write(Buffer.alloc(1000), () => {})
+  await waitFor(() => calls.includes('write 1000'), 2000)
+  caller.cancelForward?.()
+  t.deepEqual(calls, ['start', 'write 1000', 'abort', 'truncated'])
+  await waitFor(() => exchanges.size === 1, 2000)
+})
