Count only silence that the router could hear

Cause: the check of peers' silence runs first after such a time, before the sockets are read, and took the time in which nobody was listened to for the peers' silence; all of them with requests outstanding were reported down at once. Ruled out: peers that were silent (all routers were in one process, which answered right after), lost frames (none of the answers was missing when the report was left out). Now the time by which a check comes late is no silence. A peer that stays silent while the router listens is still found after 250 ms. The new peerStreams case fails before and holds after.

--- a/src/runtime/peerClient.ts
+++ b/src/runtime/peerClient.ts
@@ -151,8 +151,11 @@
     link.queue.push({ id, body })
     openLink(link)
   }
+  let checkedAt = now()
   const stopChecks: Unsubscribe = timers.subscribe(checkIntervalMs, time => {
-    for (const link of links.values()) checkSilence(link, time, send, post)
+    const heldBackMs = Math.max(0, time - checkedAt - checkIntervalMs)
+    checkedAt = time
+    for (const link of links.values()) checkSilence(link, time, heldBackMs, send, post)
   })
   return {
     connect: routers => {
@@ -357,10 +360,14 @@
   reader.stream.resume()
 }
 
-/** Probes streams that keep requests waiting in silence, and reports peers that stay silent. */
+/**
+ * Probes streams that keep requests waiting in silence, and reports peers that stay silent. Time in
+ * which this process was held back, and heard nobody, is no silence of its peers.
+ */
 function checkSilence (
   link: Link,
   time: number,
+  heldBackMs: number,
   send: (link: Link, id: number, body: FrameBody) => void,
   post: (event: RouterEvent) => boolean
 ): void {
@@ -368,6 +375,7 @@
     link.lastHeardAt = time
     return
   }
+  link.lastHeardAt = Math.min(time, link.lastHeardAt + heldBackMs)
   const silence = time - link.lastHeardAt
   if (silence > pingAfterMs) send(link, 0, { $case: 'ping', ping: {} })
   if (silence <= peerSilenceMs || link.suspected) return
--- a/tests/peerStreams.spec.ts
+++ b/tests/peerStreams.spec.ts
@@ -2,6 +2,7 @@
 import type { Refusal } from '../src/core/domain/outcome.js'
 import type { Exchange, ExchangeTable } from '../src/runtime/exchange.js'
 import type { PeerRequest, RouterEvent } from '../src/core/router/routerEvents.js'
+import type { TimerService } from '../src/runtime/timerService.js'
 import test from 'ava'
 import fc from 'fast-check'
 import { PassThrough } from 'node:stream'
@@ -32,8 +33,9 @@
 const request: PeerRequest = { service: 'catalogue', key: 'k', unit: anyUnit, owner: 'backend-1', epoch: 1, rank: 'lookup', idempotent: true, deadlineMs: 1000, replayable: true }
 
 /** A server for peers and a router that is linked to it by one stream with a request at work. */
-async function startPair (t: ExecutionContext) {
+async function startPair (t: ExecutionContext, changeTimers: (timers: TimerService) => TimerService = timers => timers) {
   const timers = createTimerService(systemClock)
+  const down: string[] = []
   const exchanges: ExchangeTable = new Map()
   const refusals = new Map<string, Refusal>()
   const service = createPeerService({ self: 'b', timers, exchanges, post: () => true, reportRubbish: () => {} })
@@ -43,10 +45,11 @@
     server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, bound) => error === null ? resolve(bound) : reject(error))
   })
   const post = (event: RouterEvent) => {
+    if (event.kind === 'peer-down') down.push(event.router)
     if (event.kind === 'forward-refused') refusals.set(event.id, event.refusal)
     return true
   }
-  const links = createPeerLinks({ self: 'a', credentials: credentials.createInsecure(), timers, post })
+  const links = createPeerLinks({ self: 'a', credentials: credentials.createInsecure(), timers: changeTimers(timers), post })
   links.connect([{ router: 'b', address: `127.0.0.1:${port}`, adminAddress: '', zone: 'zone-1', generation: 1, successor: undefined, witness: undefined, pivot: undefined }])
   t.teardown(() => {
     links.close()
@@ -55,7 +58,7 @@
   })
   links.forward(buildExchange('first'), 'b', request)
   await waitFor(() => exchanges.size === 1, 2000)
-  return { service, server, links, exchanges, refusals }
+  return { service, server, links, exchanges, refusals, down }
 }
 
 test('a request that reaches a router while it ends its streams in order is known not to have run', async t => {
@@ -154,3 +157,25 @@
   t.deepEqual(calls, ['start', 'write 1000', 'abort', 'truncated'])
   await waitFor(() => exchanges.size === 1, 2000)
 })
+
+test('a router whose process was held back does not report a peer down for what it could not hear', async t => {
+  let time = 1000
+  const checks: Array<(now: number) => void> = []
+  const { down } = await startPair(t, timers => ({
+    ...timers,
+    clock: { ...systemClock, now: () => time },
+    subscribe: (_intervalMs, notify) => {
+      checks.push(notify)
+      return () => {}
+    }
+  }))
+  const check = (afterMs: number) => {
+    time += afterMs
+    for (const notify of checks) notify(time)
+  }
+  check(50)
+  check(600)
+  t.deepEqual(down, [])
+  for (let each = 0; each < 5; each++) check(50)
+  t.deepEqual(down, ['b'], 'silence while it listens still counts')
+})
