Histories: what waits for the end of a pause stays in order

Cause, in the virtual fleet: events for a paused router were put off to the planned end of its pause one by one. `healFleet` ends pauses early and tells the router at once that its peers are up, so that what had waited came after it. Trace: peer-down of router-3 held at 4250 until 4251, peer-up applied at 4250, peer-down applied at 4251; router-1 took router-3 for lost for ever. A stream between real routers can't be turned round so: its events wait in one channel, and each frame of a suspected peer reports it up. Now what reaches a paused router waits in one queue, which the end of the pause or the heal empties first. The check at the end is the same. Ruled out: a check that is too early (20 s after the last fault nothing was on its way), records, journals and hints (empty or equal on all routers).

--- a/spec/virtualFaults.ts
+++ b/spec/virtualFaults.ts
@@ -1,6 +1,6 @@
 import type { VirtualFleet } from './virtualFleet.js'
 import { buildBackendState } from '../src/standins/backendReducer.js'
-import { postBackend, postRouter, refuseForward, schedule } from './virtualFleet.js'
+import { postBackend, postRouter, refuseForward, resumeRouter, schedule } from './virtualFleet.js'
 
 /** Ends a router without warning. */
 export function killRouter (fleet: VirtualFleet, name: string): void {
@@ -68,6 +68,7 @@
   }
   for (const [name, router] of fleet.routers) {
     router.pausedUntil = 0
+    resumeRouter(fleet, name)
     for (const other of fleet.routers.keys()) {
       if (other !== name && fleet.routers.get(other)?.alive === true) postRouter(fleet, name, { kind: 'peer-up', now: 0, router: other })
     }
--- a/spec/virtualFleet.ts
+++ b/spec/virtualFleet.ts
@@ -38,7 +38,8 @@
   requests: number
 }
 
-type VirtualRouter = { state: RouterState, alive: boolean, pausedUntil: number, zone: string }
+/** A router; what reaches it while it is paused waits in order. */
+type VirtualRouter = { state: RouterState, alive: boolean, pausedUntil: number, waiting: RouterEvent[], zone: string }
 type VirtualBackend = { state: BackendState, alive: boolean, port: number, records: RunRecord[], boots: number, checks: boolean }
 type VirtualStore = { down: boolean, revision: number, records: Map<string, { modRevision: number, record: ControllerRecord }> }
 type VirtualDispatch = { router: string, id: string, attempt: number, backend: string, open: boolean }
@@ -103,7 +104,7 @@
 
 /** Starts a router under a new instance name. */
 export function addRouter (fleet: VirtualFleet, name: string, zone: string): void {
-  fleet.routers.set(name, { state: buildRouterState(name, zone), alive: true, pausedUntil: 0, zone })
+  fleet.routers.set(name, { state: buildRouterState(name, zone), alive: true, pausedUntil: 0, waiting: [], zone })
   const registration = { router: name, address: `10.1.0.${fleet.routers.size}:1`, adminAddress: '', zone }
   writeRecord(fleet, `fulmar/routers/${name}`, { kind: 'registration', registration })
   for (const { record } of fleet.store.records.values()) sendRecord(fleet, name, record)
@@ -146,8 +147,9 @@
 export function postRouter (fleet: VirtualFleet, name: string, event: RouterEvent): void {
   const router = fleet.routers.get(name)
   if (router === undefined || !router.alive) return
-  if (router.pausedUntil > fleet.now) {
-    schedule(fleet, router.pausedUntil - fleet.now, () => postRouter(fleet, name, event))
+  if (router.pausedUntil > fleet.now || router.waiting.length > 0) {
+    router.waiting.push(event)
+    if (router.waiting.length === 1) schedule(fleet, router.pausedUntil - fleet.now, () => resumeRouter(fleet, name))
     return
   }
   const step = reduceRouter(router.state, { ...event, now: fleet.now }, fleet.rules)
@@ -155,6 +157,15 @@
   for (const effect of step.effects) runRouterEffect(fleet, name, effect)
 }
 
+/** Gives a router what waited for the end of its pause. */
+export function resumeRouter (fleet: VirtualFleet, name: string): void {
+  const router = fleet.routers.get(name)
+  if (router === undefined) return
+  const waiting = router.waiting
+  router.waiting = []
+  for (const event of waiting) postRouter(fleet, name, event)
+}
+
 function isCut (fleet: VirtualFleet, from: string, to: string): boolean {
   return fleet.cuts.has(`${from} ${to}`)
 }
--- a/tests/ownershipHistories.spec.ts
+++ b/tests/ownershipHistories.spec.ts
@@ -70,3 +70,16 @@
   ], 550, rules)
   t.deepEqual(listBroken(result), [])
 })
+
+test('a pause that healing ends early leaves no peer down whose loss was reported before', async t => {
+  const rules = await loadRules()
+  const result = runHistory([
+    { kind: 'load', count: 5, spread: 10 },
+    { kind: 'cut', from: 2, to: 0, both: false },
+    { kind: 'pause-router', index: 0, ms: 201 },
+    { kind: 'wait', ms: 20 },
+    { kind: 'load', count: 30, spread: 6 },
+    { kind: 'start-router' }
+  ], 0, rules)
+  t.deepEqual(listBroken(result), [])
+})
