--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -48,3 +48,5 @@
 export const reportedHotKeys = 20
 /** Time that a router has to stop unless settings say otherwise, in milliseconds. */
 export const defaultGraceMs = 60_000
+/** Longest time that a program may be given for a stop, in milliseconds: bounds how long others wait for one that is stopping. */
+export const longestGraceMs = 600_000
--- a/src/runtime/peerClient.ts
+++ b/src/runtime/peerClient.ts
@@ -29,6 +29,7 @@
 
 /** One forwarded request on a stream. */
 type Forward = {
+  peer: string
   exchange: Exchange
   body: CreditedWriter | undefined
   answer: CreditedReader | undefined
@@ -89,7 +90,7 @@
   }
   const refuse = (forward: Forward, refusal: Refusal) => {
     forward.exchange.cancelForward = undefined
-    post({ kind: 'forward-refused', now: now(), id: forward.exchange.id, refusal })
+    post({ kind: 'forward-refused', now: now(), id: forward.exchange.id, peer: forward.peer, refusal })
   }
   const failLink = (link: Link, isFinished: boolean) => {
     // A peer that ends its stream in order has read nothing that it leaves without an answer.
@@ -150,8 +151,11 @@
     link.queue.push({ id, body })
     openLink(link)
   }
+  let checkedAt = now()
   const stopChecks: Unsubscribe = timers.subscribe(checkIntervalMs, time => {
-    for (const link of links.values()) checkSilence(link, time, send, post)
+    const heldBackMs = Math.max(0, time - checkedAt - checkIntervalMs)
+    checkedAt = time
+    for (const link of links.values()) checkSilence(link, time, heldBackMs, send, post)
   })
   return {
     connect: routers => {
@@ -167,7 +171,7 @@
       const link = findLink(peer, request.rank === 'upload' ? 'bulk' : 'interactive')
       if (link === undefined) {
         const refusal: Refusal = { outcome: 'not-run', reason: 'peer-unreachable' }
-        post({ kind: 'forward-refused', now: now(), id: exchange.id, refusal })
+        post({ kind: 'forward-refused', now: now(), id: exchange.id, peer, refusal })
         return
       }
       startForward(link, exchange, request, (id, body) => send(link, id, body))
@@ -259,12 +263,17 @@
   const id = link.nextId
   link.nextId = id === 0xffffffff ? 1 : id + 1
   const rest = exchange.rest
-  const forward: Forward = { exchange, body: undefined, answer: undefined, answered: false }
+  const forward: Forward = { peer: link.peer, exchange, body: undefined, answer: undefined, answered: false }
   link.forwards.set(id, forward)
   exchange.cancelForward = () => {
     if (link.forwards.get(id) !== forward) return
     link.forwards.delete(id)
     send(id, { $case: 'cancel', cancel: {} })
+    if (!forward.answered) return
+    // The reducer has not heard yet that the answer began; nothing can take that answer's place.
+    exchange.sink.abort()
+    exchange.finish('truncated')
+    forward.answer?.stream.destroy()
   }
   send(id, { $case: 'request', request: encodeRequest(request, exchange.http, exchange.first, rest === undefined) })
   if (rest === undefined) return
@@ -279,7 +288,7 @@
   writer.addCredit(credit)
   if (rest.listenerCount('data') > 0) return
   readInto(rest, writer.write, whole => {
-    if (whole) writer.end()
+    if (whole) writer.end(() => {})
     else forward.exchange.cancelForward?.()
   })
   rest.resume()
@@ -351,10 +360,14 @@
   reader.stream.resume()
 }
 
-/** Probes streams that keep requests waiting in silence, and reports peers that stay silent. */
+/**
+ * Probes streams that keep requests waiting in silence, and reports peers that stay silent. Time in
+ * which this process was held back, and heard nobody, is no silence of its peers.
+ */
 function checkSilence (
   link: Link,
   time: number,
+  heldBackMs: number,
   send: (link: Link, id: number, body: FrameBody) => void,
   post: (event: RouterEvent) => boolean
 ): void {
@@ -362,6 +375,7 @@
     link.lastHeardAt = time
     return
   }
+  link.lastHeardAt = Math.min(time, link.lastHeardAt + heldBackMs)
   const silence = time - link.lastHeardAt
   if (silence > pingAfterMs) send(link, 0, { $case: 'ping', ping: {} })
   if (silence <= peerSilenceMs || link.suspected) return
--- a/tests/peerStreams.spec.ts
+++ b/tests/peerStreams.spec.ts
@@ -3,12 +3,16 @@
 import type { Refusal } from '../src/core/domain/outcome.js'
 import type { Exchange, ExchangeTable } from '../src/runtime/exchange.js'
 import type { PeerRequest, RouterEvent } from '../src/core/router/routerEvents.js'
+import type { TimerService } from '../src/runtime/timerService.js'
 import test from 'ava'
+import fc from 'fast-check'
+import { PassThrough } from 'node:stream'
 import { anyUnit } from '../src/core/router/backends.js'
 import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
 import { connect, createServer } from 'node:net'
 import { PeerService } from '../src/protocol/gen/peer.js'
 import { systemClock } from '../src/runtime/clock.js'
+import { readInto } from '../src/runtime/exchange.js'
 import { createPeerLinks } from '../src/runtime/peerClient.js'
 import { createPeerService } from '../src/runtime/peerServer.js'
 import { createTimerService } from '../src/runtime/timerService.js'
@@ -52,8 +56,9 @@
 }
 
 /** A server for peers and a router that is linked to it by one stream with a request at work. */
-async function startPair (t: ExecutionContext, first = buildExchange('first')) {
+async function startPair (t: ExecutionContext, first = buildExchange('first'), changeTimers: (timers: TimerService) => TimerService = timers => timers) {
   const timers = createTimerService(systemClock)
+  const down: string[] = []
   const exchanges: ExchangeTable = new Map()
   const refusals = new Map<string, Refusal>()
   const service = createPeerService({ self: 'b', timers, exchanges, post: () => true, reportRubbish: () => {} })
@@ -64,10 +69,11 @@
   })
   const link = await startSlowLink(t, port)
   const post = (event: RouterEvent) => {
+    if (event.kind === 'peer-down') down.push(event.router)
     if (event.kind === 'forward-refused') refusals.set(event.id, event.refusal)
     return true
   }
-  const links = createPeerLinks({ self: 'a', credentials: credentials.createInsecure(), timers, post })
+  const links = createPeerLinks({ self: 'a', credentials: credentials.createInsecure(), timers: changeTimers(timers), post })
   links.connect([{ router: 'b', address: `127.0.0.1:${link.port}`, adminAddress: '', zone: 'zone-1', generation: 1, successor: undefined, witness: undefined, pivot: undefined }])
   t.teardown(() => {
     links.close()
@@ -76,7 +82,7 @@
   })
   links.forward(first, 'b', request)
   await waitFor(() => exchanges.size === 1, 2000)
-  return { service, server, link, links, exchanges, refusals }
+  return { service, server, link, links, exchanges, refusals, down }
 }
 
 test('a request that reaches a router while it ends its streams in order is known not to have run', async t => {
@@ -140,3 +146,102 @@
   await waitFor(() => result !== '', 2000)
   t.deepEqual([result, received], ['complete', heldAnswerBytes])
 })
+
+type Answer = { bytes: number, result: 'complete' | 'truncated' | undefined }
+
+/** Answers a request over the stream as a backend server's answer that is all there already, to a caller that takes each part after a pause. */
+async function passAnswer (pair: Awaited<ReturnType<typeof startPair>>, id: string, sizes: readonly number[], pauseMs: number): Promise<Answer> {
+  const { links, exchanges } = pair
+  const answer: Answer = { bytes: 0, result: undefined }
+  const caller = buildExchange(id)
+  caller.sink.write = (part, then) => {
+    answer.bytes += part.length
+    setTimeout(then, pauseMs)
+  }
+  caller.finish = result => { answer.result = result }
+  const known = new Set(exchanges.keys())
+  const findExchange = () => [...exchanges].find(([each]) => !known.has(each))?.[1]
+  links.forward(caller, 'b', request)
+  await waitFor(() => findExchange() !== undefined, 2000)
+  const exchange = findExchange()
+  if (exchange === undefined) return answer
+  const source = new PassThrough({ highWaterMark: sizes.reduce((sum, size) => sum + size, 1) })
+  for (const size of sizes) source.write(Buffer.alloc(size, 1))
+  source.end()
+  exchange.sink.start(200, [])
+  readInto(source, exchange.sink.write, whole => {
+    if (whole) exchange.sink.end()
+    else exchange.sink.abort()
+    exchange.finish(whole ? 'complete' : 'truncated')
+  })
+  await waitFor(() => answer.result !== undefined, 2000)
+  return answer
+}
+
+test('an answer that has ended while its last part waits for credit is not left without its rest', async t => {
+  const pair = await startPair(t)
+  t.deepEqual(await passAnswer(pair, 'large', [100_000, 1_000_000], 1), { bytes: 1_100_000, result: 'complete' })
+  t.is(pair.exchanges.size, 1, 'only the first request is left')
+})
+
+test('answers of any size reach callers of any pace whole', async t => {
+  const pair = await startPair(t)
+  let count = 0
+  await fc.assert(fc.asyncProperty(
+    fc.array(fc.integer({ min: 1, max: 400_000 }), { minLength: 1, maxLength: 6 }),
+    fc.nat({ max: 3 }),
+    async (sizes, pauseMs) => {
+      count += 1
+      const bytes = sizes.reduce((sum, size) => sum + size, 0)
+      t.deepEqual(await passAnswer(pair, `answer-${count}`, sizes, pauseMs), { bytes, result: 'complete' })
+    }
+  ), { seed: 1, numRuns: 60, endOnFailure: true })
+  t.is(pair.exchanges.size, 1, 'only the first request is left')
+})
+
+test('an answer that is given up as it begins is cut, so that it neither hangs nor begins twice', async t => {
+  const { links, exchanges } = await startPair(t)
+  const calls: string[] = []
+  const caller = buildExchange('caller')
+  caller.sink = {
+    start: () => { calls.push('start') },
+    write: (part, then) => {
+      calls.push(`write ${part.length}`)
+      then()
+    },
+    end: () => { calls.push('end') },
+    abort: () => { calls.push('abort') }
+  }
+  caller.finish = result => { calls.push(result) }
+  links.forward(caller, 'b', request)
+  await waitFor(() => exchanges.size === 2, 2000)
+  const exchange = [...exchanges.values()].at(-1)
+  exchange?.sink.start(200, [])
+  exchange?.sink.write(Buffer.alloc(1000), () => {})
+  await waitFor(() => calls.includes('write 1000'), 2000)
+  caller.cancelForward?.()
+  t.deepEqual(calls, ['start', 'write 1000', 'abort', 'truncated'])
+  await waitFor(() => exchanges.size === 1, 2000)
+})
+
+test('a router whose process was held back does not report a peer down for what it could not hear', async t => {
+  let time = 1000
+  const checks: Array<(now: number) => void> = []
+  const { down } = await startPair(t, undefined, timers => ({
+    ...timers,
+    clock: { ...systemClock, now: () => time },
+    subscribe: (_intervalMs, notify) => {
+      checks.push(notify)
+      return () => {}
+    }
+  }))
+  const check = (afterMs: number) => {
+    time += afterMs
+    for (const notify of checks) notify(time)
+  }
+  check(50)
+  check(600)
+  t.deepEqual(down, [])
+  for (let each = 0; each < 5; each++) check(50)
+  t.deepEqual(down, ['b'], 'silence while it listens still counts')
+})
