Close a backend server's connection once its bytes can't become an answer

Callers of lookups got 504 at their deadline, where the backend server sent blank lines, a header of blanks, informational answers, a chunk size, chunk extensions or trailers without end, or a refusal whose body never ended; such a refusal went on to the caller as a 503 without end. A whole answer with rubbish in the same segment was thrown away: 502 for an order that had run well. An idle connection with stray bytes was closed, but its backend server trusted.

Cause: Node.js counts the bytes of names and values only, and the sender read on until the deadline. An error of the parser after the end of an answer was taken for one of the answer.

A refusal that isn't whole is no promise. An answer that is complete is delivered whatever follows it.

--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -49,19 +49,34 @@
   if (event.failure === 'connection-refused' || event.failure === 'connect-failed') {
     return retryOrRefuse(work, request, 'backend-unreachable', 'backend-unreachable', rules)
   }
-  const reason = event.failure === 'malformed' || event.failure === 'wrong-request' ? 'backend-rubbish' : 'backend-failed'
+  const reason = isRubbish(event.failure) ? 'backend-rubbish' : 'backend-failed'
   if (!request.route.idempotent) return failRequest(work, request, reason, 502)
   if (!isRetryWorthwhile(work, request) || !takeRetry(work.state, request.service)) return failRequest(work, request, reason, 502)
   retryRequest(work, request, 'backend-lost-idempotent', rules)
 }
 
+/** Takes bytes that came in on an idle connection, or beside an answer that is not failed for them. */
+export function handleStrayBytes (work: GatewayWork, id: string): void {
+  const backend = work.state.backends.get(id)
+  if (backend !== undefined) setDistrust(work, backend, 'stray-bytes')
+}
+
+function isRubbish (failure: SendFailure): boolean {
+  return failure === 'wrong-request' || failure === 'malformed' || failure === 'unending'
+}
+
+/** For a while connections to this backend server are used once only; those that are idle are closed. */
+function setDistrust (work: GatewayWork, backend: Backend, cause: SendFailure | 'stray-bytes'): void {
+  const { now } = work.state
+  const isNew = backend.distrustUntil <= now
+  backend.distrustUntil = now + distrustMs
+  work.effects.push({ kind: 'close-backend', backend: backend.id })
+  if (isNew) work.effects.push({ kind: 'log', event: 'backendDistrusted', fields: { backend: backend.id, cause, forMs: distrustMs } })
+}
+
 function noteFailure (work: GatewayWork, backend: Backend, failure: SendFailure): void {
   const { now } = work.state
-  if (failure === 'wrong-request' || failure === 'malformed') {
-    backend.distrustUntil = now + distrustMs
-    work.effects.push({ kind: 'close-backend', backend: backend.id })
-    return
-  }
+  if (isRubbish(failure)) return setDistrust(work, backend, failure)
   if (failure === 'broken-after-send') return
   backend.avoidUntil = Math.max(backend.avoidUntil, now + unreachableAvoidanceMs)
   work.effects.push({ kind: 'log', event: 'backendAvoided', fields: { backend: backend.id, failure, forMs: unreachableAvoidanceMs } })
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -19,6 +19,7 @@
   storeRegained: 4108,
   storeLost: 4109,
   storeSourceChanged: 4110,
+  backendDistrusted: 4111,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -6,6 +6,7 @@
   | 'connect-failed'
   | 'broken-after-send'
   | 'malformed'
+  | 'unending'
   | 'wrong-request'
 
 /** What a call that grants or takes back keys came to. */
@@ -75,6 +76,8 @@
   | { kind: 'answer-streaming', now: number, id: string, attempt: number, status: number }
   | { kind: 'answer-cut', now: number, id: string, attempt: number }
   | { kind: 'send-failed', now: number, id: string, attempt: number, failure: SendFailure }
+  /** Bytes came in that belong to no request. */
+  | { kind: 'stray-bytes-read', now: number, backend: string }
   | { kind: 'configuration-read', now: number, configuration: Configuration, revision: number }
   | { kind: 'backend-read', now: number, backend: BackendRegistration }
   | { kind: 'backend-gone', now: number, id: string }
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -10,7 +10,7 @@
 import { quietTickMs, shortestLapseMs } from './limits.js'
 import { advanceReport, applyReport } from './loadExchange.js'
 import { advanceFollowing, handleExchangeEnd, handleFleetLoad, handlePlacementChange } from './following.js'
-import { dropRequest, endOverdue, handleAnswer, handleAnswerStart, handleCutAnswer, handleNotRun, handleSendFailure } from './answers.js'
+import { dropRequest, endOverdue, handleAnswer, handleAnswerStart, handleCutAnswer, handleNotRun, handleSendFailure, handleStrayBytes } from './answers.js'
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
 import { acceptRequest, advanceWaiting, dropOldFences } from './placing.js'
 import { buildRouteIndex } from './routing.js'
@@ -36,6 +36,7 @@
     case 'answer-whole': return handleAnswer(work, event)
     case 'answer-streaming': return handleAnswerStart(work, event)
     case 'answer-cut': return handleCutAnswer(work, event, rules)
+    case 'stray-bytes-read': return handleStrayBytes(work, event.backend)
     case 'send-failed': return handleSendFailure(work, event, rules)
     case 'configuration-read': return applyConfiguration(work, event)
     case 'backend-read': return applyRegistration(work, event.backend)
--- a/src/runtime/gateway/backendConnections.ts
+++ b/src/runtime/gateway/backendConnections.ts
@@ -1,7 +1,7 @@
-import type { ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock.js'
 import { Agent } from 'node:http'
+import { watchIdle } from '../answerExcess.js'
 
 /** Time an idle connection is kept, in milliseconds; below the time after which backend servers close theirs. */
 const idleConnectionMs = 4000
@@ -19,29 +19,23 @@
   dropIdle: (idleMs: number) => void
 }
 
-/** Creates the connections to one backend server; what comes in while one is idle closes it. */
-export function createBackendConnections (clock: Clock): BackendConnections {
+/** Creates the connections to one backend server; what comes in while one is idle closes it, and is told. */
+export function createBackendConnections (clock: Clock, notifyStray: () => void): BackendConnections {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo', timeout: idleConnectionMs })
-  const strayData = new WeakMap<Socket, () => void>()
   const idleSince = new WeakMap<Socket, number>()
   let singleUseUntil = -Infinity
-  const keepByDefault = agent.keepSocketAlive.bind(agent) as unknown as (socket: Socket) => boolean
-  const reuseByDefault = agent.reuseSocket.bind(agent) as unknown as (socket: Socket, request: ClientRequest) => void
-  const keep = (socket: Socket): boolean => {
-    if (clock.now() < singleUseUntil || !keepByDefault(socket)) return false
-    const close = () => { socket.destroy() }
-    strayData.set(socket, close)
-    socket.on('data', close)
-    idleSince.set(socket, clock.now())
-    return true
-  }
-  const reuse = (socket: Socket, request: ClientRequest): void => {
-    const close = strayData.get(socket)
-    if (close !== undefined) socket.off('data', close)
-    socket.setTimeout(0)
+  const reuseByDefault = agent.reuseSocket.bind(agent)
+  agent.reuseSocket = (socket, request) => {
+    (socket as Socket).setTimeout(0)
     reuseByDefault(socket, request)
   }
-  Object.assign(agent, { keepSocketAlive: keep, reuseSocket: reuse })
+  watchIdle(agent, {
+    mayKeep: socket => {
+      idleSince.set(socket, clock.now())
+      return clock.now() >= singleUseUntil
+    },
+    notify: notifyStray
+  })
   return {
     agent,
     setSingleUse: until => { singleUseUntil = Math.max(singleUseUntil, until) },
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -6,6 +6,7 @@
 import type { GatewayExchange, Sending } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
 import { request as openRequest } from 'node:http'
+import { isParseError, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
 import { createBackendConnections } from './backendConnections.js'
 
@@ -13,6 +14,10 @@
 const connectTimeoutMs = 400
 /** Part of an answer that is buffered before it is passed on, in bytes; a shorter one that breaks off can be asked for again. */
 const bufferedAnswerBytes = 256 * 1024
+/** Parts of such an answer that are kept apart, so that many small ones don't cost more than their bytes. */
+const maxBufferedParts = 1024
+/** Longest answer that can come whole, in bytes: 88 s of a link of 100 Gbit/s, beyond any deadline. */
+const maxAnswerBytes = 2 ** 40
 /** Time for which connections to a backend server are used once only after stray bytes, in milliseconds. */
 const singleUseMs = 10_000
 /** Statuses with which a backend server may say that it did not run a request. */
@@ -35,7 +40,7 @@
   const connections = new Map<string, BackendConnections>()
   const find = (effect: SendEffect): BackendConnections => {
     const name = `${effect.backend}@${effect.address}`
-    const known = connections.get(name) ?? createBackendConnections(options.timers.clock)
+    const known = connections.get(name) ?? createBackendConnections(options.timers.clock, () => postStray(effect.backend, options))
     connections.set(name, known)
     return known
   }
@@ -64,6 +69,7 @@
   const { timers, wire } = options
   let ended = false
   let connected = false
+  let response: IncomingMessage | undefined
   const post = (event: GatewayEvent) => {
     if (ended) return
     ended = true
@@ -84,6 +90,13 @@
     setHost: false
   })
   request.setNoDelay(true)
+  watchAnswer(request, excess => {
+    if (excess === 'unending') fail('unending')
+    postStray(effect.backend, options)
+    // What was read of a whole answer is still to be delivered.
+    if (excess === 'stray') request.socket?.destroy()
+    else request.destroy()
+  })
   const sending: Sending = {
     attempt: effect.attempt,
     answer: undefined,
@@ -110,26 +123,41 @@
     else onConnect()
   })
   request.on('error', (error: NodeJS.ErrnoException) => {
-    if (sending.answer !== undefined) return
+    // What came in after a whole answer is no part of it.
+    if (response?.complete === true) return
+    if (sending.answer !== undefined) {
+      if (isParseError(error)) postStray(effect.backend, options)
+      return
+    }
     if (!connected) fail(error.code === 'ECONNREFUSED' ? 'connection-refused' : 'connect-failed')
-    else fail(error.code?.startsWith('HPE_') === true ? 'malformed' : 'broken-after-send')
+    else fail(isParseError(error) ? 'malformed' : 'broken-after-send')
+  })
+  // A backend server that switches to another protocol ends here without an answer.
+  request.on('close', () => {
+    if (response === undefined) fail('malformed')
   })
-  request.on('response', response => {
-    const problem = checkAnswer(response, exchange, wire)
+  request.on('response', started => {
+    response = started
+    const problem = checkAnswer(started, exchange, wire)
     if (problem !== undefined) {
       request.destroy()
       fail(problem)
       return
     }
-    readAnswer(response, exchange, sending, { post, fail, options, request, pool })
+    readAnswer(started, exchange, sending, { post, fail, options, request, pool })
   })
 }
 
+function postStray (backend: string, options: BackendSenderOptions): void {
+  options.post({ kind: 'stray-bytes-read', now: options.timers.clock.now(), backend })
+}
+
 /** Finds out whether an answer belongs to another request, or is none. */
 function checkAnswer (response: IncomingMessage, exchange: GatewayExchange, wire: GatewayWire): SendFailure | undefined {
   const echoed = response.headers[wire.headers.requestId.toLowerCase()]
   if (exchange.requestId !== '' && echoed !== exchange.requestId) return 'wrong-request'
   if (response.headers['content-encoding'] !== undefined && exchange.request.headers['accept-encoding'] === undefined) return 'malformed'
+  if (Number(response.headers['content-length'] ?? 0) > maxAnswerBytes) return 'unending'
   return undefined
 }
 
@@ -155,7 +183,14 @@
   const onData = (part: Buffer) => {
     buffered.push(part)
     bytes += part.length
+    if (buffered.length >= maxBufferedParts) buffered.splice(0, buffered.length, Buffer.concat(buffered))
     if (bytes < bufferedAnswerBytes) return
+    // A refusal that is not whole is no promise.
+    if (isNotRun) {
+      parts.fail('unending')
+      parts.request.destroy()
+      return
+    }
     response.off('data', onData)
     response.off('end', onEnd)
     response.pause()
--- a/tests/support/platform/grantBackend.ts
+++ b/tests/support/platform/grantBackend.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { EndlessFault, Flood } from './endlessBytes.js'
 import { createServer } from 'node:http'
 import { runDetached } from '../../../src/runtime/runDetached.js'
+import { startFlood } from './endlessBytes.js'
 import { listen } from './kvStandin.js'
 
 type Grant = { from: number, to: number, fence: number, endsAt: number }
@@ -15,9 +17,14 @@
   answerBytes: number | undefined
   /** Says that it did not run, though it could. */
   shed: boolean
-  next: Array<'cut' | 'unframed-cut' | 'extra' | 'wrong-id' | 'reset' | 'early' | 'garbage' | 'silent'>
+  next: Array<'cut' | 'unframed-cut' | 'extra' | 'wrong-id' | 'reset' | 'early' | 'garbage' | 'silent' | 'pausing' | 'switching' | EndlessFault>
+  /** The same for calls that grant or release keys. */
+  nextCalls: EndlessFault[]
 }
 
+/** Time for which an answer pauses midway, in milliseconds. */
+const pauseMs = 700
+
 /** Stand-in for a backend server that checks grants. */
 export type GrantBackend = {
   id: string
@@ -27,6 +34,8 @@
   refused: number
   grants: Grant[]
   canceled: string[]
+  /** Answers that were sent without end, in order. */
+  floods: Flood[]
   sockets: () => number
   holds: (key: number) => boolean
   close: () => Promise<void>
@@ -34,9 +43,10 @@
 
 /** Starts a stand-in; with `sharded` it runs only requests for keys that it holds. */
 export async function startGrantBackend (id: string, options: { sharded: boolean, workMs?: number, port?: number }): Promise<GrantBackend> {
-  const faults: GrantBackendFaults = { workMs: options.workMs ?? 5, answerBytes: undefined, shed: false, next: [] }
+  const faults: GrantBackendFaults = { workMs: options.workMs ?? 5, answerBytes: undefined, shed: false, next: [], nextCalls: [] }
   const runs: Run[] = []
   const canceled: string[] = []
+  const floods: Flood[] = []
   let grants: Grant[] = []
   let running: Array<{ key: number | undefined, done: Promise<void> }> = []
   let refused = 0
@@ -133,9 +143,25 @@
         return
       }
       case 'silent': return
-      default:
+      case 'switching': {
+        socket?.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n')
+        return
+      }
+      case 'pausing': {
+        response.writeHead(200, { 'request-id': requestId, 'response-stamp': id, 'content-length': text.length })
+        response.write(text.slice(0, 4))
+        setTimeout(() => response.end(text.slice(4)), pauseMs)
+        return
+      }
+      case undefined:
+      case 'wrong-id':
+      case 'early': {
         response.writeHead(200, { 'request-id': fault === 'wrong-id' ? 'other' : requestId, 'response-stamp': id, 'content-length': text.length })
         response.end(text)
+        return
+      }
+      default:
+        if (socket !== null) floods.push(startFlood(socket, fault, head, text))
     }
   }
   const server = createServer((request, response) => {
@@ -153,6 +179,11 @@
       const body = Buffer.concat(parts).toString()
       const expected = request.headers['target-instance']
       if ((request.url ?? '').startsWith('/-/') && expected !== undefined && expected !== id) return reply(response, 421)
+      const fault = (request.url ?? '').startsWith('/-/') ? faults.nextCalls.shift() : undefined
+      if (fault !== undefined) {
+        floods.push(startFlood(request.socket, fault, 'HTTP/1.1 200 OK\r\n', ''))
+        return
+      }
       if (request.url === '/-/grant') return takeGrant(response, JSON.parse(body))
       if (request.url === '/-/release') return runDetached(release(response, JSON.parse(body)))
       runDetached(serve(request, response, body))
@@ -174,6 +205,7 @@
     get refused () { return refused },
     get grants () { return grants },
     canceled,
+    floods,
     sockets: () => connections,
     holds,
     close: async () => {
