Break off an answer that still goes on at its request's deadline

A caller whose backend server sent a body without end got bytes until it left: the deadline and the route's timeout ended only requests without an answer.

Cause: endOverdue passed over requests in phase `answering`.

Before, on tests/endlessBytes.spec.ts, `endless-length` with a route timeout of 2 s: still sending when the test was ended after 10 s. A silence of 700 ms midway and 64 MB go through whole.

Why it works: the reducer cancels the sending and fails the request, as before the first byte; the caller's connection is reset, since an unframed body would look whole after an orderly close.

--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -194,7 +194,7 @@
       continue
     }
     if (state.now < request.deadlineAt) continue
-    if (request.phase === 'answering') continue
+    // One being answered is broken off: its caller must not wait for a body without end.
     endSending(work, request.id, request.attempt)
     work.effects.push({ kind: 'cancel', id: request.id })
     failRequest(work, request, 'deadline-passed', 504)
--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -253,6 +253,8 @@
   const { response, request } = exchange
   options.exchanges.delete(exchange.id)
   if (response.headersSent || response.destroyed) {
+    // A body that ends with its connection would look whole after an orderly close.
+    response.socket?.resetAndDestroy()
     response.destroy()
     return
   }
--- a/tests/endlessBytes.spec.ts
+++ b/tests/endlessBytes.spec.ts
@@ -2,12 +2,15 @@
 import type { GrantBackend } from './support/platform/grantBackend.js'
 import type { PlatformFleet } from './support/platform/platformFleet.js'
 import test from 'ava'
+import { request as openRequest } from 'node:http'
 import { callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
 /** Bytes that lie in the sockets of both ends at most, in bytes: the kernel's largest buffers. */
 const socketBytes = 16 * 1024 * 1024
 /** Time in which a connection closes once its bytes can't become an answer, in milliseconds. */
 const closeMs = 300
+/** Time for which a caller leaves its answer unread, in milliseconds: past the route's timeout. */
+const unreadMs = 2500
 /** Longest time that another request of the host may take meanwhile, in milliseconds. */
 const othersMs = 250
 /** Most memory that all the floods of one test may add, in bytes. */
@@ -19,8 +22,35 @@
   'endless-informational', 'endless-huge-length', 'endless-chunk-size', 'endless-extension', 'endless-extensions', 'endless-trailers',
   'endless-trailer-blanks', 'endless-not-run'
 ]
+/** Bodies that may yet end. */
+const hopeful: EndlessFault[] = ['endless-chunks', 'endless-small-chunks', 'endless-unframed', 'endless-length']
 const afterAnswers: EndlessFault[] = ['endless-after-answer', 'endless-answers-after-answer', 'endless-when-idle']
 
+type Download = { status: number, bytes: number, complete: boolean, ms: number }
+
+/** Sends a request as a caller that only counts the bytes of its answer, or leaves them unread for a time. */
+async function download (address: string, path: string, options: { reads: boolean, key?: number }): Promise<Download> {
+  const startedAt = performance.now()
+  const [host, port] = address.split(':')
+  return await new Promise(resolve => {
+    let bytes = 0
+    let reset = false
+    const finish = (status: number, complete: boolean) => resolve({ status, bytes, complete: complete && !reset, ms: performance.now() - startedAt })
+    const headers = { host: 'shop.test', 'Request-Id': `download-${startedAt}`, 'Deadline-Ms': '5000', ...(options.key === undefined ? {} : { 'Shard-Key': String(options.key) }) }
+    const request = openRequest({ host, port, path, headers })
+    request.on('error', () => finish(0, false))
+    // Node.js calls an answer complete that ends with its connection, also when that is reset.
+    request.on('socket', socket => { socket.on('error', () => { reset = true }) })
+    request.on('response', response => {
+      response.on('error', () => {})
+      response.on('close', () => finish(response.statusCode ?? 0, response.complete))
+      if (options.reads) response.on('data', (part: Buffer) => { bytes += part.length })
+      else setTimeout(() => response.resume(), unreadMs)
+    })
+    request.end()
+  })
+}
+
 /** Goes on asking a host for short answers; ends with the longest time one took, and the statuses that were no success. */
 function startOthers (address: string, path: string): () => Promise<{ longestMs: number, failed: number[] }> {
   const work = { ended: false }
@@ -93,6 +123,34 @@
   })
 }
 
+for (const fault of hopeful) {
+  test.serial(`a body that never ends is broken off at its deadline and looks incomplete: ${fault}`, async t => {
+    const fleet = await startPlatformFleet({ gateways: 1, shards: 1, plain: 1 })
+    t.teardown(fleet.stop)
+    const address = fleet.gateways[0]?.addresses.callers ?? ''
+    const [shard] = fleet.shards
+    const memoryBefore = process.memoryUsage().rss
+    const endOthers = startOthers(address, '/orders/others')
+    for (const reads of [true, false]) {
+      shard?.faults.next.push(fault)
+      const [result, end] = await Promise.all([download(address, '/reads/1', { reads, key: 7 }), waitForEnd(shard, fault)])
+      const about = `${reads ? 'read' : 'unread'}: ${JSON.stringify({ result, end })}`
+      // A Node.js client that did not read when the reset came sees an orderly end of an unframed body.
+      if (reads || fault !== 'endless-unframed') t.false(result.complete, about)
+      t.true(end.ms > 1800 && end.ms < 2000 + closeMs, about)
+      if (reads) t.true(result.ms > 1800 && result.ms < 2000 + closeMs, about)
+      t.is(end.bytesAfter, 0, about)
+      if (!reads) t.true(end.bytes < 2 * socketBytes, about)
+      if (shard !== undefined) shard.floods.length = 0
+    }
+    const others = await endOthers()
+    t.deepEqual(others.failed, [])
+    t.true(others.longestMs < othersMs, `${others.longestMs} ms`)
+    t.true(process.memoryUsage().rss - memoryBefore < memoryBytes)
+    t.is(shard?.runs.length, 2)
+  })
+}
+
 for (const fault of afterAnswers) {
   test.serial(`bytes without end after a whole answer close its connection, and the answer is delivered: ${fault}`, async t => {
     const fleet = await startPlatformFleet({ gateways: 1, shards: 1, plain: 1 })
@@ -124,3 +182,17 @@
   t.is(result.status, 200)
   t.is(result.body, `answer to ${result.requestId} by shard-0`)
 })
+
+test.serial('an answer that is silent midway, and a large one, are not cut short by the limits on endless bytes', async t => {
+  const fleet = await startPlatformFleet({ gateways: 1, shards: 1, plain: 0 })
+  t.teardown(fleet.stop)
+  const [shard] = fleet.shards
+  const address = fleet.gateways[0]?.addresses.callers ?? ''
+  shard?.faults.next.push('pausing')
+  const paused = await callGateway(address, { path: '/reads/1', key: 7 })
+  t.is(paused.body, `answer to ${paused.requestId} by shard-0`)
+  if (shard !== undefined) shard.faults.answerBytes = 64 * 1024 * 1024
+  const large = await download(address, '/reads/1', { reads: true, key: 7 })
+  t.true(large.complete, JSON.stringify(large))
+  t.is(large.bytes, 64 * 1024 * 1024)
+})
