End a call that grants keys when its answer has no end

Renewals and releases lasted their full 500 ms or 2500 ms where the backend server's answer had no end, one sending slot of four taken each; an idle connection with stray bytes was read and dropped until its timeout, and used.

Why it works: the call ends as failed once 128 KB came beside a body or the body passed 16 KB (it tells nothing), and the connection is reset; a whole answer counts whatever follows it. Idle connections close at the first byte, as those for requests do. The backend server is distrusted by the same event.

--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -77,7 +77,7 @@
   })
   const front = createCallerFront({ timers, wire, exchanges, post, countRefusal: reason => metrics.countRefusal(reason, 'not-run') })
   const sender = createBackendSender({ wire, timers, post })
-  const grants = createGrantCaller(wire, timers)
+  const grants = createGrantCaller({ wire, timers, notifyStray: backend => { post({ kind: 'stray-bytes-read', now: clock.now(), backend }) } })
   const peerCredentials = settings.tls === undefined
     ? { client: credentials.createInsecure(), server: ServerCredentials.createInsecure(), readPem: undefined }
     : createPeerCredentials(settings.tls)
--- a/src/runtime/gateway/grantCaller.ts
+++ b/src/runtime/gateway/grantCaller.ts
@@ -1,7 +1,10 @@
+import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { GrantOutcome } from '../../core/gateway/events.js'
 import type { TimerService } from '../timerService.js'
 import type { EncodedCall, GatewayWire } from './ports.js'
 import { Agent, request as openRequest } from 'node:http'
+import { isParseError, watchAnswer, watchIdle } from '../answerExcess.js'
 import { splitAddress } from './backendSender.js'
 
 /** Time an idle connection for grants is kept, in milliseconds: some renewals. */
@@ -9,6 +12,9 @@
 /** Most connections for grants to one backend server. */
 const maxConnections = 4
 
+/** Largest body of the answer to a call, in bytes: what it tells is in its head. */
+const maxReplyBytes = 16 * 1024
+
 /** The backend server that a call is for. */
 export type GrantTarget = { backend: string, address: string }
 
@@ -18,25 +24,31 @@
   close: () => void
 }
 
+/** What the calls need; `notifyStray` hears of backend servers that send bytes which are no answer. */
+export type GrantCallerOptions = { wire: GatewayWire, timers: TimerService, notifyStray: (backend: string) => void }
+
 /** Creates the caller. */
-export function createGrantCaller (wire: GatewayWire, timers: TimerService): GrantCaller {
+export function createGrantCaller (options: GrantCallerOptions): GrantCaller {
   const agent = new Agent({ keepAlive: true, maxSockets: maxConnections, timeout: idleConnectionMs })
+  const backendOf = new WeakMap<Socket, string>()
+  watchIdle(agent, { mayKeep: () => true, notify: socket => options.notifyStray(backendOf.get(socket) ?? '') })
   return {
-    call: (kind, target, call, timeoutMs, done) => { sendCall(kind, target, call, timeoutMs, agent, wire, timers, done) },
+    call: (kind, target, call, timeoutMs, done) => { sendCall(kind, target, call, timeoutMs, { ...options, agent, backendOf }, done) },
     close: () => { agent.destroy() }
   }
 }
 
+type CallParts = GrantCallerOptions & { agent: Agent, backendOf: WeakMap<Socket, string> }
+
 function sendCall (
   kind: 'grant' | 'release',
   target: GrantTarget,
   call: EncodedCall,
   timeoutMs: number,
-  agent: Agent,
-  wire: GatewayWire,
-  timers: TimerService,
+  parts: CallParts,
   done: (outcome: GrantOutcome) => void
 ): void {
+  const { agent, wire, timers, backendOf, notifyStray } = parts
   let finished = false
   const finish = (outcome: GrantOutcome) => {
     if (finished) return
@@ -44,6 +56,12 @@
     stopTimer()
     done(outcome)
   }
+  const cut = () => {
+    finish({ kind: 'failed' })
+    // A reset discards what a cut link holds back, so that it does not arrive later.
+    request.socket?.resetAndDestroy()
+    request.destroy()
+  }
   const request = openRequest({
     ...splitAddress(target.address),
     agent,
@@ -52,17 +70,35 @@
     // A backend server that has taken the address over refuses what is meant for the one before it.
     headers: { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(call.body), [wire.headers.expectedBackend]: target.backend }
   })
-  const stopTimer = timers.schedule(timeoutMs, () => {
-    finish({ kind: 'failed' })
-    // A reset discards what a cut link holds back, so that it does not arrive later.
-    request.socket?.resetAndDestroy()
-    request.destroy()
+  const stopTimer = timers.schedule(timeoutMs, cut)
+  const cutEndless = () => {
+    notifyStray(target.backend)
+    cut()
+  }
+  watchAnswer(request, excess => {
+    if (excess === 'unending') return cutEndless()
+    notifyStray(target.backend)
+    // What a whole answer says counts.
+    request.socket?.destroy()
+  })
+  let answer: IncomingMessage | undefined
+  request.on('socket', socket => { backendOf.set(socket, target.backend) })
+  // One that switches to another protocol ends without an answer.
+  request.on('close', () => {
+    if (answer === undefined) finish({ kind: 'failed' })
   })
   request.on('error', (error: NodeJS.ErrnoException) => {
+    if (answer?.complete === true) return
+    if (isParseError(error)) notifyStray(target.backend)
     finish({ kind: error.code === 'ECONNREFUSED' ? 'connection-refused' : 'failed' })
   })
   request.on('response', response => {
-    response.resume()
+    answer = response
+    let bytes = 0
+    response.on('data', (part: Buffer) => {
+      bytes += part.length
+      if (bytes > maxReplyBytes) cutEndless()
+    })
     response.on('error', () => finish({ kind: 'failed' }))
     response.on('close', () => finish({ kind: 'failed' }))
     response.on('end', () => {
--- a/tests/endlessBytes.spec.ts
+++ b/tests/endlessBytes.spec.ts
@@ -174,6 +174,22 @@
   })
 }
 
+for (const fault of [...hopeless, ...hopeful, ...afterAnswers]) {
+  test.serial(`a call that grants or releases keys is not held up by an answer without end: ${fault}`, async t => {
+    const fleet = await startPlatformFleet({ gateways: 1, shards: 2, plain: 0 })
+    t.teardown(fleet.stop)
+    const [shard] = fleet.shards
+    shard?.faults.nextCalls.push(fault)
+    const end = await waitForEnd(shard, fault)
+    t.true(end.ms < closeMs, `closed after ${end.ms} ms`)
+    t.true(end.bytes < socketBytes, `${end.bytes} bytes`)
+    t.is(end.bytesAfter, 0)
+    const address = fleet.gateways[0]?.addresses.callers ?? ''
+    t.is((await callGateway(address, { path: '/reads/1', key: 7 })).status, 200)
+    t.is((await callGateway(address, { path: '/reads/1', key: 60_000 })).status, 200)
+  })
+}
+
 test.serial('a lookup is asked again when its backend server switches to another protocol', async t => {
   const fleet = await startPlatformFleet({ gateways: 1, shards: 1, plain: 0 })
   t.teardown(fleet.stop)
