--- a/src/runtime/gateway/callerFront.ts
+++ b/src/runtime/gateway/callerFront.ts
@@ -269,6 +269,8 @@
   const { response, request } = exchange
   exchange.isAnswered = true
   if (response.headersSent || response.destroyed) {
+    // A body that ends with its connection would look whole after an orderly close.
+    response.socket?.resetAndDestroy()
     response.destroy()
     return
   }
