Soak: a request that ran ends with an answer, also while its host stops

The soak stopped hosts with SIGTERM and never looked at whether that cut a call; and at its load, a host had an idle moment in every stop. Calls come every 6 ms now (12), backend servers work up to 300 ms (20), and a connection closed without an answer on a request that ran is a broken promise, unless its host was killed or paused then.

--- a/tests/soak/playSoak.ts
+++ b/tests/soak/playSoak.ts
@@ -14,10 +14,12 @@
 const sharedHoldMs = 500
 /** Time in which all is served again after the last fault, in milliseconds: the users' recovery_s. */
 const recoveryMs = 15_000
+/** Time between two calls, in milliseconds. */
+const callGapMs = 6
 /** Keys that are looked at, spread over all keys. */
 const watchedKeys = Array.from({ length: 48 }, (_, index) => Math.floor((index + 0.5) * 65_536 / 48))
 
-type Call = { requestId: string, host: SoakHost, isOrder: boolean, sentAt: number, status: number, complete: boolean, body: string, stamp: string }
+type Call = { requestId: string, host: SoakHost, isOrder: boolean, sentAt: number, endedAt: number, status: number, complete: boolean, body: string, stamp: string }
 
 /** What a soak found: broken promises, empty when all held. */
 export type SoakResult = { seed: number, steps: SoakStep[], broken: string[], calls: number, answered: number, directory: string }
@@ -37,7 +39,7 @@
     const stopWatching = watchHolds(fleet, broken)
     while (performance.now() - startedAt < sizes.lengthMs) {
       pending.push(callOnce(fleet, calls))
-      await delay(12)
+      await delay(callGapMs)
     }
     await Promise.all(pending)
     for (const host of fleet.hosts) if (host.process === undefined) fleet.startHost(host)
@@ -83,11 +85,11 @@
   const isOrder = pick % 3 === 0
   const sentAt = performance.now()
   const requestId = `soak-${process.pid}-${Math.floor(sentAt)}-${pick}`
-  const call: Call = { requestId, host, isOrder, sentAt, status: -1, complete: false, body: '', stamp: '' }
+  const call: Call = { requestId, host, isOrder, sentAt, endedAt: Infinity, status: -1, complete: false, body: '', stamp: '' }
   calls.push(call)
   const key = (pick * 7919) % 65_536
   const result = await callGateway(host.callers, isOrder ? { path: '/orders/1', method: 'POST', body: `order ${requestId}`, requestId } : { path: '/reads/1', key, requestId })
-  Object.assign(call, { status: result.status, complete: result.complete, body: result.body, stamp: String(result.headers['response-stamp'] ?? '') })
+  Object.assign(call, { endedAt: performance.now(), status: result.status, complete: result.complete, body: result.body, stamp: String(result.headers['response-stamp'] ?? '') })
 }
 
 /** Carries out one step and its end; checks what it promises on the way. */
@@ -144,7 +146,10 @@
     return
   }
   harm(host)
+  const now = performance.now()
+  if (fault.kind === 'kill-host') host.interruptions.push({ from: now, to: now })
   if (fault.kind === 'pause-host') {
+    host.interruptions.push({ from: now, to: now + forMs + stableMs })
     child.kill('SIGSTOP')
     await delay(forMs)
     child.kill('SIGCONT')
@@ -218,6 +223,8 @@
     const ran = runs.get(call.requestId) ?? 0
     if (call.isOrder && ran > 1) broken.push(`order ${call.requestId} ran ${ran} times`)
     if (call.isOrder && call.status === 503 && ran > 0) broken.push(`order ${call.requestId} was refused as not run, and ran`)
+    const isInterrupted = call.host.interruptions.some(each => each.from <= call.endedAt && each.to >= call.sentAt)
+    if (call.status === 0 && ran > 0 && !isInterrupted) broken.push(`${call.requestId} ran, and ${call.host.name} closed its connection without an answer after ${Math.round(call.endedAt - call.sentAt)} ms`)
     if (call.status !== 200 || !call.complete) continue
     if (call.body !== `answer to ${call.requestId} by ${call.stamp}`) broken.push(`${call.requestId} got the answer "${call.body}"`)
   }
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -21,11 +21,16 @@
   process: ChildProcess | undefined
   /** Until when no promise with a time bound is held against it: a fault struck it. */
   harmedUntil: number
+  /** When its process was killed, or could not run in time. */
+  interruptions: Array<{ from: number, to: number }>
 }
 
 /** One backend server behind a link. */
 export type SoakBackend = { server: GrantBackend, link: LinkProxy, service: 'shards' | 'plain', leavingAt: number | undefined, harmedUntil: number }
 
+/** Work of the slowest backend server of a soak, in milliseconds: longer than the time between two calls of a host, so that something is always in flight. */
+const slowestWorkMs = 300
+
 /** Everything that a soak runs. */
 export type SoakFleet = {
   store: KvStandin
@@ -46,7 +51,7 @@
   const backends: SoakBackend[] = []
   for (let index = 0; index < sizes.shards + sizes.plain; index++) {
     const service = index < sizes.shards ? 'shards' : 'plain'
-    const server = await startGrantBackend(`${service}-${index}`, { sharded: service === 'shards', workMs: 20 })
+    const server = await startGrantBackend(`${service}-${index}`, { sharded: service === 'shards', workMs: Math.round(slowestWorkMs * (index + 1) / (sizes.shards + sizes.plain)) })
     backends.push({ server, link: await startLinkProxy(server.address), service, leavingAt: undefined, harmedUntil: 0 })
   }
   for (let index = 0; index < sizes.hosts; index++) hosts.push(await buildHost(`host-${index}`, store.address, directory))
@@ -84,7 +89,7 @@
     '[gateway]', `name = ${name}`, 'zone = zone-1', 'region = region-1', `listen = ${callers}`, `probe-listen = ${probes}`,
     `peer-listen = ${peers}`, `admin-listen = ${admin}`, 'grace-ms = 6000', '[store]', `address = ${storeLink.address}`, '[regions]', 'zone-1 = region-1', ''
   ].join('\n'))
-  return { name, callers: callers ?? '', probes: probes ?? '', settings, storeLink, process: undefined, harmedUntil: 0 }
+  return { name, callers: callers ?? '', probes: probes ?? '', settings, storeLink, process: undefined, harmedUntil: 0, interruptions: [] }
 }
 
 function startProcess (program: string, host: SoakHost, directory: string): void {
