Close a router's connection to a backend server that sends without end

Callers got 504 at their deadline where the backend server's bytes could not become an answer, and bytes without end, past the deadline, where a body was begun. The rest of a refusal was read for as long as it came. A probe or grant message with endless blank lines never ended, since its timeout was one of silence, and held one of the two connections for such messages.

Cause: the deadline's timer stopped at the head of an answer; nothing counted bytes.

Why it works: watchAnswer as in the gateway, the result `rubbish` as before; the deadline breaks an answer off, which then ends as `truncated`; a refusal's rest gets 64 KB and 200 ms; a grant message has 200 ms in all; idle connections close at their first byte. The longest answer is now a limit of both paths.

--- a/src/runtime/answerExcess.ts
+++ b/src/runtime/answerExcess.ts
@@ -6,6 +6,9 @@
 /** Bytes beside the body that each of its bytes may bring: a chunk of one byte has five. */
 const surplusPerBodyByte = 16
 
+/** Longest answer that can come whole, in bytes: 88 s of a link of 100 Gbit/s, beyond any deadline. */
+const maxAnswerBytes = 2 ** 40
+
 /** Bytes that can't become an answer: too many before its head or beside its body, or any after its end. */
 export type AnswerExcess = 'unending' | 'stray'
 
@@ -48,6 +51,11 @@
   return error.code?.startsWith('HPE_') === true
 }
 
+/** Tells whether an answer states a length in which no answer comes whole. */
+export function isTooLong (response: IncomingMessage): boolean {
+  return Number(response.headers['content-length'] ?? 0) > maxAnswerBytes
+}
+
 /** How connections that nobody uses are kept. */
 export type IdleWatch = {
   /** Whether a connection may be kept at all. */
--- a/src/runtime/backendClient.ts
+++ b/src/runtime/backendClient.ts
@@ -1,18 +1,23 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { DispatchTarget, RouterEffect } from '../core/router/routerEffects.js'
 import type { DispatchResult, GrantReply, RouterEvent } from '../core/router/routerEvents.js'
+import type { IdleWatch } from './answerExcess.js'
 import type { Exchange } from './exchange.js'
 import type { TimerService } from './timerService.js'
 import { Agent, request as openRequest } from 'node:http'
 import { decodeGrantAnswer, grantPath, headerNames, healthPath } from '../protocol/grantWire.js'
+import { isParseError, isTooLong, watchAnswer, watchIdle } from './answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from './exchange.js'
 
-/** Longest wait for the reply to a grant message, in milliseconds. */
+/** Longest time that a reply to a grant message, or the rest of a refusal, may take to arrive, in milliseconds. */
 const grantTimeoutMs = 200
 /** Time an idle connection is kept, in milliseconds; shorter than common servers keep theirs. */
 const idleConnectionMs = 3000
-/** Largest reply to a grant message, in bytes. */
-const maxGrantReplyBytes = 64 * 1024
+/** Largest reply to a grant message, or body of a refusal, in bytes. */
+const maxReplyBytes = 64 * 1024
+
+/** An idle connection with stray bytes is closed, and that is all: the next request opens another. */
+const closeOnly: IdleWatch = { mayKeep: () => true, notify: () => {} }
 
 type SendGrants = Extract<RouterEffect, { kind: 'send-grants' }>
 
@@ -27,11 +32,13 @@
 export function createBackendClient (timers: TimerService, post: (event: RouterEvent) => boolean): BackendClient {
   const agents = new Map<string, Agent>()
   const control = new Agent({ keepAlive: true, maxSockets: 2, timeout: idleConnectionMs })
+  watchIdle(control, closeOnly)
   const findAgent = (target: DispatchTarget): Agent => {
     const id = `${target.host}:${target.port}`
     const known = agents.get(id)
     if (known !== undefined) return known
     const agent = new Agent({ keepAlive: true, maxSockets: target.connections, timeout: idleConnectionMs })
+    watchIdle(agent, closeOnly)
     agents.set(id, agent)
     return agent
   }
@@ -42,7 +49,7 @@
       })
     },
     sendGrants: effect => {
-      sendGrantMessage(effect, control, reply => {
+      sendGrantMessage(effect, control, timers, reply => {
         const { backend, sentAt, usableUntil, notAfter } = effect
         post({ kind: 'grants-replied', now: timers.clock.now(), backend, sentAt, usableUntil, notAfter, reply })
       })
@@ -82,10 +89,16 @@
     setHost: false
   })
   const stopDeadline = timers.schedule(Math.max(1, target.deadlineAt - timers.clock.now()), () => {
-    if (answering) return
-    finish('deadline')
+    // An answer that has begun is broken off.
+    if (!answering) finish('deadline')
     request.destroy()
   })
+  watchAnswer(request, excess => {
+    if (excess === 'unending' && !answering) finish('rubbish')
+    // What was read of a whole answer is still to be delivered.
+    if (excess === 'stray') request.socket?.destroy()
+    else request.destroy()
+  })
   exchange.cancelDispatch = () => {
     if (answering) exchange.sink.abort()
     finish('canceled')
@@ -105,20 +118,28 @@
     if (socket.connecting) socket.once('connect', onConnect)
     else onConnect()
   })
+  // A backend server that switches to another protocol ends here without an answer.
+  request.on('close', () => {
+    if (connected && !answering) finish('rubbish')
+  })
   request.on('error', (error: NodeJS.ErrnoException) => {
     if (answering) return
     if (!connected) finish('connect-failed')
-    else finish(error.code?.startsWith('HPE_') === true ? 'rubbish' : 'failed-after-send')
+    else finish(isParseError(error) ? 'rubbish' : 'failed-after-send')
   })
   request.on('response', response => {
     const verdict = readVerdict(response)
     if (verdict !== undefined) {
-      response.resume()
       finish(verdict)
+      dropRest(request, response, timers)
+      return
+    }
+    if (isTooLong(response)) {
+      finish('rubbish')
+      request.destroy()
       return
     }
     answering = true
-    stopDeadline()
     sendAnswer(response, exchange, finish)
   })
 }
@@ -159,6 +180,18 @@
   return response.headers[headerNames.reason] === 'fenced' ? 'fenced' : 'shed'
 }
 
+/** Reads the rest of a refusal, so that its connection can be used again; one that goes on is closed. */
+function dropRest (request: ClientRequest, response: IncomingMessage, timers: TimerService): void {
+  let bytes = 0
+  const stopTimer = timers.schedule(grantTimeoutMs, () => { request.destroy() })
+  response.on('data', (part: Buffer) => {
+    bytes += part.length
+    if (bytes > maxReplyBytes) request.destroy()
+  })
+  response.on('error', stopTimer)
+  response.on('close', stopTimer)
+}
+
 function sendAnswer (response: IncomingMessage, exchange: Exchange, finish: (result: DispatchResult) => void): void {
   exchange.sink.start(response.statusCode ?? 502, listPassedHeaders(response.rawHeaders, true))
   const delimited = isDelimited(response, exchange.http.method)
@@ -171,11 +204,12 @@
   })
 }
 
-function sendGrantMessage (effect: SendGrants, agent: Agent, done: (reply: GrantReply) => void): void {
+function sendGrantMessage (effect: SendGrants, agent: Agent, timers: TimerService, done: (reply: GrantReply) => void): void {
   let finished = false
   const finish = (reply: GrantReply) => {
     if (finished) return
     finished = true
+    stopTimer()
     done(reply)
   }
   const { host, port, checksGrants, holder, holderEpoch, boot, notAfter, set, units, excludes } = effect
@@ -186,17 +220,29 @@
     agent,
     method: checksGrants ? 'PUT' : 'GET',
     path: checksGrants ? grantPath : healthPath,
-    headers: { 'content-length': Buffer.byteLength(body), 'content-type': 'application/json' },
-    timeout: grantTimeoutMs
+    headers: { 'content-length': Buffer.byteLength(body), 'content-type': 'application/json' }
   })
-  request.on('timeout', () => {
+  const cut = () => {
     finish({ kind: 'failed' })
     request.destroy()
+  }
+  const stopTimer = timers.schedule(grantTimeoutMs, cut)
+  watchAnswer(request, excess => {
+    if (excess === 'unending') cut()
+    else request.socket?.destroy()
+  })
+  let reply: IncomingMessage | undefined
+  request.on('close', () => {
+    if (reply === undefined) finish({ kind: 'failed' })
   })
   request.on('error', (error: NodeJS.ErrnoException) => {
+    if (reply?.complete === true) return
     finish({ kind: error.code === 'ECONNREFUSED' ? 'connection-refused' : 'failed' })
   })
-  request.on('response', response => readGrantReply(response, checksGrants, finish))
+  request.on('response', response => {
+    reply = response
+    readGrantReply(response, checksGrants, finish)
+  })
   request.end(body)
 }
 
@@ -205,7 +251,7 @@
   let bytes = 0
   response.on('data', (part: Buffer) => {
     bytes += part.length
-    if (bytes > maxGrantReplyBytes) response.destroy()
+    if (bytes > maxReplyBytes) response.destroy()
     else parts.push(part)
   })
   response.on('error', () => finish({ kind: 'failed' }))
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -6,7 +6,7 @@
 import type { GatewayExchange, Sending } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
 import { request as openRequest } from 'node:http'
-import { isParseError, watchAnswer } from '../answerExcess.js'
+import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
 import { createBackendConnections } from './backendConnections.js'
 
@@ -16,8 +16,6 @@
 const bufferedAnswerBytes = 256 * 1024
 /** Parts of such an answer that are kept apart, so that many small ones don't cost more than their bytes. */
 const maxBufferedParts = 1024
-/** Longest answer that can come whole, in bytes: 88 s of a link of 100 Gbit/s, beyond any deadline. */
-const maxAnswerBytes = 2 ** 40
 /** Time for which connections to a backend server are used once only after stray bytes, in milliseconds. */
 const singleUseMs = 10_000
 /** Statuses with which a backend server may say that it did not run a request. */
@@ -157,7 +155,7 @@
   const echoed = response.headers[wire.headers.requestId.toLowerCase()]
   if (exchange.requestId !== '' && echoed !== exchange.requestId) return 'wrong-request'
   if (response.headers['content-encoding'] !== undefined && exchange.request.headers['accept-encoding'] === undefined) return 'malformed'
-  if (Number(response.headers['content-length'] ?? 0) > maxAnswerBytes) return 'unending'
+  if (isTooLong(response)) return 'unending'
   return undefined
 }
 
--- a/tests/endlessBytes.spec.ts
+++ b/tests/endlessBytes.spec.ts
@@ -1,8 +1,16 @@
 import type { EndlessFault } from './support/platform/endlessBytes.js'
 import type { GrantBackend } from './support/platform/grantBackend.js'
+import type { Flood } from './support/platform/endlessBytes.js'
 import type { PlatformFleet } from './support/platform/platformFleet.js'
+import type { ExecutionContext } from 'ava'
+import type { LocalFleet } from '../src/demo/localFleet.js'
 import test from 'ava'
 import { request as openRequest } from 'node:http'
+import { createServer } from 'node:net'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { applyDocument } from '../src/operator/applyDocument.js'
+import { call, startFleet } from './support/fleet.js'
+import { startFlood } from './support/platform/endlessBytes.js'
 import { callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
 /** Bytes that lie in the sockets of both ends at most, in bytes: the kernel's largest buffers. */
@@ -212,3 +220,72 @@
   t.true(large.complete, JSON.stringify(large))
   t.is(large.bytes, 64 * 1024 * 1024)
 })
+
+type FloodServer = { port: number, floods: Flood[], setFault: (fault: EndlessFault | undefined) => void }
+
+/** Starts a server that floods the requests that `strikes` picks, and answers all others. */
+async function startFloodServer (t: ExecutionContext, strikes: (head: string) => boolean, text = '{}'): Promise<FloodServer> {
+  const floods: Flood[] = []
+  let fault: EndlessFault | undefined
+  const server = createServer(socket => {
+    socket.on('error', () => {})
+    const onData = (part: Buffer) => {
+      if (fault === undefined || !strikes(part.toString())) {
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\n\r\n${text}`)
+        return
+      }
+      socket.off('data', onData)
+      floods.push(startFlood(socket, fault, 'HTTP/1.1 200 OK\r\n', text))
+    }
+    socket.on('data', onData)
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', () => resolve()) })
+  t.teardown(() => { server.close() })
+  return { port: (server.address() as { port: number }).port, floods, setFault: next => { fault = next } }
+}
+
+/** Starts routers whose one backend server of the bookings is a server that floods. */
+async function startFloodedFleet (t: ExecutionContext, strikes: (head: string) => boolean): Promise<{ fleet: LocalFleet, server: FloodServer }> {
+  const server = await startFloodServer(t, strikes)
+  const { fleet, timers } = await startFleet(t, { checkingBackends: 1, trustingBackends: 1 })
+  const text = fleet.documentText.replace(/(\[backend\.book-1\]\nservice = bookings\naddress = )\S+/, `$1127.0.0.1:${server.port}`)
+  await applyDocument(fleet.operatorStore, { team: 'demo', text, base: 1, author: 'test' }, timers)
+  await fleet.waitUntil(() => fleet.routers.every(router => router.getState().documents.get('demo')?.revision === 2), 5000)
+  return { fleet, server }
+}
+
+for (const fault of [...hopeless, ...hopeful]) {
+  test.serial(`a router breaks off an answer without end, and its other requests go on: ${fault}`, async t => {
+    const { fleet, server } = await startFloodedFleet(t, head => head.startsWith('POST'))
+    const address = fleet.routers[0]?.address ?? ''
+    t.is((await call(address, { host: 'bookings.demo.test', method: 'POST', path: '/orders/a', body: Buffer.from('x') })).status, 200)
+    server.setFault(fault)
+    const loop = monitorEventLoopDelay({ resolution: 5 })
+    loop.enable()
+    const bad = await call(address, { host: 'bookings.demo.test', method: 'POST', path: '/orders/a', body: Buffer.from('x'), headers: { 'fulmar-timeout-ms': '1200' } })
+    const about = `${bad.status} ${bad.body.slice(0, 100)}`
+    t.true(bad.status === 502 || !bad.whole || fault === 'endless-not-run', about)
+    if (fault === 'endless-not-run') t.is(bad.headers['fulmar-outcome'], 'not-run', about)
+    await waitFor(() => server.floods.length > 0 && server.floods.every(flood => flood.closedAt !== undefined), 2000)
+    for (const flood of server.floods) {
+      const ms = (flood.closedAt ?? Infinity) - flood.startedAt
+      t.true(ms < (hopeful.includes(fault) ? 1200 + closeMs : closeMs), `closed after ${ms} ms`)
+      if (!hopeful.includes(fault)) t.true(flood.bytes < socketBytes, `${flood.bytes} bytes`)
+      t.is(flood.bytesAfter, 0)
+    }
+    t.is((await call(address, { host: 'catalogue.demo.test', path: '/items/a' })).status, 200)
+    loop.disable()
+    t.true(loop.max / 1e6 < othersMs, `the process was held up for ${loop.max / 1e6} ms`)
+  })
+}
+
+for (const fault of ['endless-empty-lines', 'endless-header-blanks', 'endless-chunks', 'endless-when-idle'] as const) {
+  test.serial(`a router's probe is not held up by an answer without end: ${fault}`, async t => {
+    const { server } = await startFloodedFleet(t, head => head.startsWith('GET /_fulmar'))
+    server.setFault(fault)
+    await waitFor(() => server.floods.some(flood => flood.bytes > 0), 2000)
+    const [first] = server.floods
+    await waitFor(() => first?.closedAt !== undefined, 2000)
+    t.true((first?.closedAt ?? Infinity) - (first?.startedAt ?? 0) < closeMs)
+  })
+}
--- a/tests/support/platform/endlessBytes.ts
+++ b/tests/support/platform/endlessBytes.ts
@@ -88,7 +88,7 @@
     case 'endless-extensions': return { start: chunked, repeated: `1;${'x'.repeat(4000)}\r\n.\r\n` }
     case 'endless-trailers': return { start: `${chunked}1\r\n.\r\n0\r\n`, repeated: 'X-Many: 1\r\n' }
     case 'endless-trailer-blanks': return { start: `${chunked}1\r\n.\r\n0\r\nX-Long:`, repeated: ' ' }
-    case 'endless-not-run': return { start: chunked.replace('200 OK', '503 Service Unavailable').replace('\r\n', '\r\nNot-Executed: 1\r\n'), repeated: `4000\r\n${dots}\r\n` }
+    case 'endless-not-run': return { start: chunked.replace('200 OK', '503 Service Unavailable').replace('\r\n', '\r\nNot-Executed: 1\r\nFulmar-Not-Run: 1\r\n'), repeated: `4000\r\n${dots}\r\n` }
     case 'endless-after-answer': return { start: whole, repeated: 'this is no answer\r\n' }
     case 'endless-answers-after-answer': return { start: whole, repeated: 'HTTP/1.1 200 OK\r\nRequest-Id: stray\r\nContent-Length: 5\r\n\r\nstray' }
     case 'endless-when-idle': return { start: whole, repeated: 'this is no answer\r\n' }
