Read the host list again when an answer to it has no end

A host list answered with blank lines, or a header of blanks, without end was waited for until its server closed; until then no other poll began, so that hosts that left or died stayed in the list of the router and the controller.

Before, on tests/endlessBytes.spec.ts: no list in 1000 ms after the server had recovered, for empty-lines and header-blanks. After: read again for all four kinds tried.

Why it works: the wait is 2 s in all, where it was 2 s of silence; bytes that can't become an answer end it sooner, and idle connections close at their first byte.

--- a/src/runtime/hostListPoller.ts
+++ b/src/runtime/hostListPoller.ts
@@ -1,10 +1,11 @@
 import type { HostList, HostStatus } from '../core/domain/hostList.js'
 import type { HostsSettings } from '../protocol/settings.js'
 import type { TimerService, Unsubscribe } from './timerService.js'
-import { get } from 'node:http'
+import { Agent, get } from 'node:http'
 import * as z from 'zod'
+import { watchAnswer, watchIdle } from './answerExcess.js'
 
-/** Longest wait for the host list, in milliseconds. */
+/** Longest time that the host list may take to arrive, in milliseconds. */
 const listTimeoutMs = 2000
 /** Largest host list, in bytes. */
 const maxListBytes = 4 * 1024 * 1024
@@ -19,27 +20,37 @@
   timers: TimerService,
   notify: (hosts: HostList) => void
 ): Unsubscribe {
+  const agent = new Agent({ keepAlive: true })
+  // The next poll opens another connection.
+  watchIdle(agent, { mayKeep: () => true, notify: () => {} })
   let busy = false
   const poll = () => {
     if (busy) return
     busy = true
-    readHostList(settings.url, hosts => {
+    readHostList(settings.url, agent, timers, hosts => {
       busy = false
       if (hosts !== undefined) notify(hosts)
     })
   }
   poll()
-  return timers.subscribe(settings['poll-ms'], poll)
+  const stopPolls = timers.subscribe(settings['poll-ms'], poll)
+  return () => {
+    stopPolls()
+    agent.destroy()
+  }
 }
 
-function readHostList (url: string, done: (hosts: HostList | undefined) => void): void {
+function readHostList (url: string, agent: Agent, timers: TimerService, done: (hosts: HostList | undefined) => void): void {
   let finished = false
+  let isAnswered = false
   const finish = (hosts: HostList | undefined) => {
     if (finished) return
     finished = true
+    stopTimer()
     done(hosts)
   }
-  const request = get(url, { timeout: listTimeoutMs }, response => {
+  const request = get(url, { agent }, response => {
+    isAnswered = true
     const parts: Buffer[] = []
     let bytes = 0
     response.on('data', (part: Buffer) => {
@@ -50,7 +61,15 @@
     response.on('end', () => finish(decodeHostList(Buffer.concat(parts).toString())))
     response.on('close', () => finish(undefined))
   })
-  request.on('timeout', () => request.destroy())
+  const stopTimer = timers.schedule(listTimeoutMs, () => { request.destroy() })
+  watchAnswer(request, excess => {
+    if (excess === 'unending') request.destroy()
+    else request.socket?.destroy()
+  })
+  // Also one that switches to another protocol ends here.
+  request.on('close', () => {
+    if (!isAnswered) finish(undefined)
+  })
   request.on('error', () => finish(undefined))
 }
 
--- a/tests/endlessBytes.spec.ts
+++ b/tests/endlessBytes.spec.ts
@@ -9,6 +9,9 @@
 import { createServer } from 'node:net'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { applyDocument } from '../src/operator/applyDocument.js'
+import { systemClock } from '../src/runtime/clock.js'
+import { watchHostList } from '../src/runtime/hostListPoller.js'
+import { createTimerService } from '../src/runtime/timerService.js'
 import { call, startFleet } from './support/fleet.js'
 import { startFlood } from './support/platform/endlessBytes.js'
 import { callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
@@ -288,4 +291,22 @@
     await waitFor(() => first?.closedAt !== undefined, 2000)
     t.true((first?.closedAt ?? Infinity) - (first?.startedAt ?? 0) < closeMs)
   })
+
+  test.serial(`the host list is read again after an answer without end: ${fault}`, async t => {
+    const server = await startFloodServer(t, () => true, JSON.stringify({ hosts: [] }))
+    server.setFault(fault)
+    const timers = createTimerService(systemClock)
+    let lists = 0
+    const stop = watchHostList({ url: `http://127.0.0.1:${server.port}/`, 'poll-ms': 50 }, timers, () => { lists += 1 })
+    t.teardown(() => {
+      stop()
+      timers.close()
+    })
+    await waitFor(() => server.floods.length > 0, 1000)
+    server.setFault(undefined)
+    await waitFor(() => server.floods.every(flood => flood.closedAt !== undefined), 1000)
+    const before = lists
+    await waitFor(() => lists > before, 1000)
+    t.pass()
+  })
 }
