Break a body off when its peer sends beyond its credit

A peer that kept sending without credit filled the memory of the router that read from it: 1000 parts of 64 KB all lay in the reader.

Before, the test failed; after, the reader is destroyed once 512 KB lie unread, and the request is canceled at the peer; the answer reaches its caller broken off, an upload ends like one whose caller left.

Why it works: the credit is 256 KB, and the head brings 64 KB at most, so that no peer that keeps to it comes near the limit.

--- a/src/runtime/frameStream.ts
+++ b/src/runtime/frameStream.ts
@@ -7,6 +7,9 @@
 /** Largest part of a body in one frame, in bytes. */
 export const maxPartBytes = 64 * 1024
 
+/** Bytes that lie unread after which a sender can't have kept to its credit, in bytes: the window, the head's part, and as much again. */
+export const maxUnreadBytes = streamWindowBytes * 2
+
 /** Sends one frame of a request. */
 export type SendFrame = (id: number, body: FrameBody) => void
 
@@ -70,7 +73,7 @@
 
 /** Builds a readable body whose reading pace sends credit to the other side. */
 export function createCreditedReader (id: number, send: SendFrame, firstCredit: number): CreditedReader {
-  const stream = new PassThrough({ highWaterMark: streamWindowBytes * 2 })
+  const stream = new PassThrough({ highWaterMark: maxUnreadBytes })
   let unacknowledged = 0
   let opened = false
   stream.on('error', () => {})
@@ -90,6 +93,11 @@
   return {
     stream,
     push: (data, end) => {
+      if (stream.destroyed) return
+      if (stream.readableLength + stream.writableLength > maxUnreadBytes) {
+        stream.destroy(new Error('peer sent beyond its credit'))
+        return
+      }
       if (data.length > 0) stream.write(data)
       if (end) stream.end()
     },
--- a/src/runtime/peerClient.ts
+++ b/src/runtime/peerClient.ts
@@ -303,6 +303,7 @@
       if (forward.answer === undefined) return
       forward.answer.push(body.chunk.data, body.chunk.end)
       if (body.chunk.end) link.forwards.delete(id)
+      else if (forward.answer.stream.destroyed) forward.exchange.cancelForward?.()
       return
     }
     case 'credit': {
--- a/tests/endlessBytes.spec.ts
+++ b/tests/endlessBytes.spec.ts
@@ -10,6 +10,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { applyDocument } from '../src/operator/applyDocument.js'
 import { systemClock } from '../src/runtime/clock.js'
+import { createCreditedReader, maxUnreadBytes } from '../src/runtime/frameStream.js'
 import { watchHostList } from '../src/runtime/hostListPoller.js'
 import { createTimerService } from '../src/runtime/timerService.js'
 import { call, startFleet } from './support/fleet.js'
@@ -310,3 +311,11 @@
     t.pass()
   })
 }
+
+test('a peer that sends beyond its credit can\'t fill the memory', t => {
+  const reader = createCreditedReader(1, () => {}, 0)
+  const part = Buffer.alloc(64 * 1024)
+  for (let index = 0; index < 1000; index++) reader.push(part, false)
+  t.true(reader.stream.readableLength <= maxUnreadBytes + 2 * part.length)
+  t.true(reader.stream.destroyed)
+})
