--- a/spec/gateway/histories.ts
+++ b/spec/gateway/histories.ts
@@ -5,11 +5,14 @@
 import { scheduleIn } from '../eventQueue.js'
 import { playShopDay } from './shopDay.js'
 import { addBackend, announceBackend, killHost, restartHost, resumeHost } from './virtualGateways.js'
-import { readStore } from './virtualWorld.js'
+import { post, readStore } from './virtualWorld.js'
+
+/** Time that a host has to stop, in milliseconds: as on the users' platform. */
+const stopGraceMs = 6000
 
 /** Kinds of trouble that a history draws from. */
 export const troubleKinds = [
-  'kill-granting-host', 'pause-granting-host', 'cut-granting-host', 'kill-some', 'store-down', 'late-grants', 'late-store-calls',
+  'kill-granting-host', 'stop-granting-host', 'stop-some', 'pause-granting-host', 'cut-granting-host', 'kill-some', 'store-down', 'late-grants', 'late-store-calls',
   'server-silent', 'server-refusing', 'server-reborn', 'server-unlisted', 'server-leaving', 'server-added', 'server-slow', 'host-cut-from-server'
 ] as const
 
@@ -51,6 +54,11 @@
   const { registration } = server
   switch (trouble.kind) {
     case 'kill-granting-host': return killForAWhile(world, leader, trouble.forMs)
+    case 'stop-granting-host': return stopForAWhile(world, leader, trouble.forMs)
+    case 'stop-some': {
+      for (const host of world.hosts.filter((_, index) => (trouble.pick >> index) % 2 === 0)) stopForAWhile(world, host, trouble.forMs)
+      return
+    }
     case 'kill-some': {
       for (const host of world.hosts.filter((_, index) => (trouble.pick >> index) % 2 === 0)) killForAWhile(world, host, trouble.forMs)
       return
@@ -130,7 +138,16 @@
 function killForAWhile (world: GatewayWorld, host: VirtualHost, forMs: number): void {
   if (!host.isUp) return
   killHost(world, host)
-  scheduleIn(world.queue, forMs, () => restartHost(world, host))
+  scheduleIn(world.queue, forMs, () => { if (!host.isUp) restartHost(world, host) })
+}
+
+/** Asks a host to stop, and starts it again a while after its time for that is over. */
+export function stopForAWhile (world: GatewayWorld, host: VirtualHost, forMs: number): void {
+  if (!host.isUp || host.isPaused || host.state.stop.phase !== 'serving') return
+  post(world, host, { kind: 'stop-asked', now: 0, graceMs: stopGraceMs })
+  scheduleIn(world.queue, stopGraceMs + forMs, () => {
+    if (!host.isUp) restartHost(world, host)
+  })
 }
 
 /** Lists what a history broke: sole ownership, and that every key is served again at the end. */
--- a/spec/gateway/virtualEffects.ts
+++ b/spec/gateway/virtualEffects.ts
@@ -23,7 +23,10 @@
       return
     }
     case 'deliver': return endRequest(world, effect.id, 200, undefined)
-    case 'refuse': return endRequest(world, effect.id, effect.status, effect.retryAfterMs)
+    case 'refuse': {
+      if (effect.reason === 'draining' && effect.status === 504) world.broken.push(`${host.name} cut request ${effect.id} when it stopped`)
+      return endRequest(world, effect.id, effect.status, effect.retryAfterMs)
+    }
     case 'claim-leadership': return scheduleIn(queue, storeMs * 2, () => {
       // Two calls: a lease, and the record under it. A record that is written late finds its lease ended.
       if (!isStoreReachable(world, host) || isLateCall(world) || isLateCall(world)) return postLater(world, host, storeTimeoutMs, { kind: 'leadership-claimed', now: 0, outcome: 'unknown', lease: 0, revision: 0 })
@@ -93,12 +96,21 @@
       if (effect.isOn) readStore(world, host)
       return
     }
+    case 'close-callers': return postLater(world, host, linkMs, { kind: 'callers-closed', now: 0 })
+    case 'end-program': return endHost(world, host)
     case 'log': {
       if (effect.event === 'moveStarted') world.moves += 1
     }
   }
 }
 
+/** Ends a host that was asked to stop; nothing that it took may be in flight then. */
+function endHost (world: GatewayWorld, host: VirtualHost): void {
+  for (const id of host.state.requests.keys()) world.broken.push(`${host.name} ended with request ${id} in flight`)
+  host.isUp = false
+  host.life += 1
+}
+
 function isLateCall (world: GatewayWorld): boolean {
   return world.lateStoreCalls > 0 && uniformFloat64(world.random) < world.lateStoreCalls
 }
--- a/tests/gatewayHistories.spec.ts
+++ b/tests/gatewayHistories.spec.ts
@@ -1,7 +1,8 @@
 import { fc, testProp } from '@fast-check/ava'
 import test from 'ava'
 import { buildGatewayRules } from '../src/core/gateway/rules.js'
-import { listHistoryFaults, playHistory, troubleSteps } from '../spec/gateway/histories.js'
+import { listHistoryFaults, playHistory, stopForAWhile, troubleSteps } from '../spec/gateway/histories.js'
+import { playShopDay } from '../spec/gateway/shopDay.js'
 
 const rules = buildGatewayRules()
 
@@ -35,3 +36,18 @@
   }
   t.deepEqual(broken, [])
 })
+
+test('hosts that are stopped in turn cut no request, at a load that leaves them no idle moment', t => {
+  const stops = [0, 1, 2].map(index => ({
+    at: 1000 + index * 8000,
+    run: (world: Parameters<typeof stopForAWhile>[0]) => {
+      const host = world.hosts[index]
+      if (host !== undefined) stopForAWhile(world, host, 500)
+    }
+  }))
+  const result = playShopDay({
+    seed: 5, hosts: 3, shards: 4, plain: 12, lengthMs: 25_000, readsPerSecond: 20, ordersPerSecond: 150, workMs: 150, targetMs: 500, timeoutMs: 1000, rules, faults: stops
+  })
+  t.deepEqual(result.broken, [])
+  t.true(result.orders.inTarget > result.orders.asked / 2)
+})
