One policy of a stop's times for gateway and router

Both had the same four limits and the same rule; policy/stopPolicy holds them now. No change of behaviour: gatewayStopping, gatewayStops, routerStops, gatewayHistories hold (26 tests).

--- a/src/core/gateway/stop.ts
+++ b/src/core/gateway/stop.ts
@@ -1,5 +1,5 @@
-/** Time kept between the deadline of a request and the end, in milliseconds: ticks, and the way of an answer to its caller. */
-const lastAnswerMs = 200
+import type { StopTimes } from '../policy/stopPolicy.js'
+import { isDoneBeforeEnd } from '../policy/stopPolicy.js'
 
 /** Phases of a process in their order, `serving` until a stop is asked for. */
 export const stopPhases = ['serving', 'leaving', 'finishing', 'closing', 'stopped'] as const
@@ -11,7 +11,7 @@
 export type StopPhase = typeof stopPhases[number]
 
 /** Progress of an orderly stop; times in milliseconds of the steady clock. */
-export type GatewayStop = { phase: StopPhase, askedAt: number, noticeEndsAt: number, endAt: number }
+export type GatewayStop = StopTimes & { phase: StopPhase, askedAt: number }
 
 /** Builds the state of a host that nobody asked to stop. */
 export function buildStop (): GatewayStop {
@@ -21,5 +21,5 @@
 /** Whether a stopping host can still see a request to its end. */
 export function isTakenDuringStop (stop: GatewayStop, deadlineAt: number): boolean {
   if (stop.phase === 'serving' || stop.phase === 'leaving') return true
-  return stop.phase === 'finishing' && deadlineAt + lastAnswerMs <= stop.endAt
+  return stop.phase === 'finishing' && isDoneBeforeEnd(deadlineAt, stop.endAt)
 }
--- a/src/core/gateway/stopping.ts
+++ b/src/core/gateway/stopping.ts
@@ -1,25 +1,14 @@
 import type { EndReason } from './effects.js'
 import type { GatewayRequest, GatewayWork } from './state.js'
+import { computeStopTimes } from '../policy/stopPolicy.js'
 import { advanceResignation, startResignation } from './leadership.js'
 import { failRequest, refuseRequest } from './refusals.js'
 
-/** Time for which a stopping host takes all requests, in milliseconds: the balancer leaves it after two probes, a second apart. */
-const leaveNoticeMs = 2600
-/** Part of the time until the end that this notice may take, where the grace is short. */
-const leaveNoticeShare = 0.5
-/** Time before the end of the grace at which the process ends, in milliseconds: closing its ports and the exit itself. */
-const endBeforeGraceMs = 400
 /** Starts an orderly stop that ends the process before `graceMs` are over. */
 export function startStop (work: GatewayWork, graceMs: number): void {
   const { state } = work
   if (state.stop.phase !== 'serving') return
-  const availableMs = Math.max(0, graceMs - endBeforeGraceMs)
-  state.stop = {
-    phase: 'leaving',
-    askedAt: state.now,
-    noticeEndsAt: state.now + Math.min(leaveNoticeMs, availableMs * leaveNoticeShare),
-    endAt: state.now + availableMs
-  }
+  state.stop = { phase: 'leaving', askedAt: state.now, ...computeStopTimes(state.now, graceMs) }
   work.effects.push({ kind: 'log', event: 'gatewayStopping', fields: { requests: state.requests.size, graceMs } })
   work.effects.push({ kind: 'end-keep-alive' })
   startResignation(work)
--- a/src/core/router/drain.ts
+++ b/src/core/router/drain.ts
@@ -2,6 +2,7 @@
 import type { RouterRules } from './rules.js'
 import type { RouterState } from './routerState.js'
 import { controlResendMs } from '../limits.js'
+import { computeStopTimes } from '../policy/stopPolicy.js'
 import { listInFlight } from './backends.js'
 import { endUnfinished } from './ingress.js'
 import { refuseWaiting } from './refusal.js'
@@ -9,12 +10,6 @@
 
 /** Time for which a draining router keeps its lease, so that the balancer can leave it, in milliseconds. */
 export const drainNoticeMs = 500
-/** Time for which a draining router takes all callers, in milliseconds: the balancer leaves it after two probes, a second apart. */
-const leaveNoticeMs = 2600
-/** Part of the time until the end that this notice may take, where the grace is short. */
-const leaveNoticeShare = 0.5
-/** Time before the end of the grace at which the router ends, in milliseconds: closing its ports and the exit itself. */
-const endBeforeGraceMs = 400
 
 /** Longest time a resignation waits for its successor's answer before the router stops without it, in milliseconds. */
 export const resignLimitMs = 2000
@@ -28,11 +23,11 @@
 /** Starts an orderly stop. */
 export function startDrain (state: RouterState): RouterEffect[] {
   if (state.phase !== 'starting' && state.phase !== 'serving') return []
-  const availableMs = Math.max(0, state.graceMs - endBeforeGraceMs)
+  const { noticeEndsAt, endAt } = computeStopTimes(state.now, state.graceMs)
   state.phase = 'draining'
   state.drainStartedAt = state.now
-  state.noticeEndsAt = state.now + Math.min(leaveNoticeMs, availableMs * leaveNoticeShare)
-  state.drainEndsAt = state.now + availableMs
+  state.noticeEndsAt = noticeEndsAt
+  state.drainEndsAt = endAt
   state.nextReportAt = state.now
   const fields = { ingress: state.ingress.size, egress: state.egress.size, graceMs: state.graceMs }
   return [{ kind: 'log', event: 'drainStarted', fields }, { kind: 'end-keep-alive' }]
--- a/src/core/router/ingress.ts
+++ b/src/core/router/ingress.ts
@@ -6,7 +6,7 @@
 import { maxRerouteDelayMs, maxRouteAttempts, rerouteDelayMs } from '../limits.js'
 import { acceptRequest } from './dispatch.js'
 import { cancelRequest } from './dispatchEnd.js'
-import { isDoneBeforeEnd } from './drainAdmission.js'
+import { isTakenDuringDrain } from './drainAdmission.js'
 import { findUnit, formatBackendId, formatUnitId, resolveHolder, resolveKey } from './ownership.js'
 import { addRetryTokens, takeRetryToken } from './retryBudget.js'
 import { findRoute, readKey } from './routes.js'
@@ -31,7 +31,7 @@
   if (key === undefined || key.length === 0) return refuseEarly(event.id, 'missing-key')
   if (key.length > maxKeyLength) return refuseEarly(event.id, 'oversized')
   const request = buildIngressRequest(state, event, routed, key)
-  if (!isDoneBeforeEnd(state, request.deadlineAt)) return refuseEarly(event.id, 'draining')
+  if (!isTakenDuringDrain(state, request.deadlineAt)) return refuseEarly(event.id, 'draining')
   state.ingress.set(request.id, request)
   addRetryTokens(state, request.service)
   const counted: RouterEffect = { kind: 'count', count: { metric: 'requests', rank: request.rank } }
