--- a/spec/gateway/virtualEffects.ts
+++ b/spec/gateway/virtualEffects.ts
@@ -140,7 +140,7 @@
   const sentAt = queue.now
   const { service, from, to, fence } = effect
   const end = (delayMs: number, outcome: Extract<GatewayEvent, { kind: 'grant-ended' }>['outcome']) => {
-    postLater(world, host, delayMs, { kind: 'grant-ended', now: 0, sentAt, service, from, to, fence, outcome })
+    postLater(world, host, delayMs + world.grantAnswerDelayMs, { kind: 'grant-ended', now: 0, sentAt, service, from, to, fence, outcome })
   }
   const backend = findBackend(world, host, effect.address)
   if (backend === undefined || backend.state === 'silent') return end(grantTimeoutMs, { kind: 'failed' })
--- a/spec/gateway/virtualGateways.ts
+++ b/spec/gateway/virtualGateways.ts
@@ -31,6 +31,7 @@
     broken: [],
     moves: 0,
     lateGrants: 0,
+    grantAnswerDelayMs: 0,
     lateStoreCalls: 0,
     workMs: () => 75,
     interpret
--- a/spec/gateway/virtualWorld.ts
+++ b/spec/gateway/virtualWorld.ts
@@ -56,6 +56,8 @@
   moves: number
   /** Share of grants and releases that get no answer and are carried out late. */
   lateGrants: number
+  /** Time by which the answers to grants reach their host late, in milliseconds. */
+  grantAnswerDelayMs: number
   /** The same share of the calls that change the store. */
   lateStoreCalls: number
   workMs: () => number
