Gateway: counts events and effects by kind with their time, and logs events that wait

On a host whose loop falls behind nothing told which kind of work took the time: events waited for seconds without a line, and an event that was refused by a full queue left no trace. The program now reports each event (time of the reducer, time it waited, events behind it), each effect and each event lost to a watch given as an argument; the gateway's watch counts them by kind and writes eventLate and eventLost, a line a second.

--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -1,3 +1,5 @@
+import type { GatewayEffect } from '../../core/gateway/effects.js'
+import type { GatewayEvent } from '../../core/gateway/events.js'
 import type { RefusalReason, RetryReason } from '../../core/domain/outcome.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { refusalReasons, retryReasons } from '../../core/domain/outcome.js'
@@ -8,11 +10,15 @@
 /** Names of a gateway's gauges. */
 export const gatewayGauges = [
   'gateway_requests', 'gateway_caller_connections', 'gateway_stop_phase', 'gateway_store_up', 'gateway_granting', 'gateway_configuration_version', 'gateway_placement_revision',
-  'gateway_store_revision', 'gateway_told'
+  'gateway_store_revision', 'gateway_told', 'gateway_events_waiting'
 ] as const
 /** Name of a gateway's gauge. */
 export type GatewayGauge = typeof gatewayGauges[number]
 
+/** Work of the loop that is counted: the reducer's on an event, or carrying out an effect. */
+type WorkPart = 'event' | 'effect'
+type WorkKind = GatewayEvent['kind'] | GatewayEffect['kind']
+
 /** Metrics of a gateway. */
 export type GatewayMetrics = {
   registry: Registry
@@ -21,6 +27,8 @@
   countRejectedValue: () => void
   countLeftOut: (event: string) => void
   countCut: () => void
+  countWork: (part: WorkPart, kind: WorkKind, ms: number) => void
+  countLost: (kind: GatewayEvent['kind']) => void
   observeAnswer: (service: string, ms: number) => void
 }
 
@@ -32,6 +40,8 @@
   for (const name of gatewayGauges) {
     const gauge: Gauge = new Gauge({ name: `fulmar_${name}`, help: `Current ${name.replaceAll('_', ' ')}`, registers, collect: () => { gauge.set(readGauges()[name]) } })
   }
+  const work = { event: createWorkCounter('event', registers), effect: createWorkCounter('effect', registers) }
+  const lost = new Counter({ name: 'fulmar_gateway_events_lost_total', help: 'Events refused because too many waited, by kind', labelNames: ['kind'], registers })
   const refusals = new Counter({ name: 'fulmar_gateway_refusals_total', help: 'Requests refused or failed, by reason and outcome', labelNames: ['reason', 'outcome'], registers })
   const retries = new Counter({ name: 'fulmar_gateway_retries_total', help: 'Requests sent again, by reason', labelNames: ['reason'], registers })
   const rejected = new Counter({ name: 'fulmar_gateway_rejected_values_total', help: 'Values of the store that could not be decoded', registers })
@@ -52,7 +62,43 @@
     countRetry: reason => retries.inc({ reason }),
     countRejectedValue: () => rejected.inc(),
     countCut: () => cut.inc(),
+    countWork: (part, kind, ms) => work[part](kind, ms),
+    countLost: kind => lost.inc({ kind }),
     countLeftOut: event => leftOut.inc({ event }),
     observeAnswer: (service, ms) => answers.observe({ service }, ms)
   }
 }
+
+/** Creates counters of work by kind; kinds that did not come up take no room on the page, and counting costs the loop no labels. */
+function createWorkCounter (part: WorkPart, registers: Registry[]): (kind: WorkKind, ms: number) => void {
+  const counts = new Map<WorkKind, { count: number, ms: number }>()
+  const seconds: Counter = new Counter({
+    name: `fulmar_gateway_${part}_seconds_total`,
+    help: `Time of ${part}s`,
+    labelNames: ['kind'],
+    registers,
+    collect: () => {
+      seconds.reset()
+      for (const [kind, { ms }] of counts) seconds.inc({ kind }, Math.round(ms) / 1000)
+    }
+  })
+  const total: Counter = new Counter({
+    name: `fulmar_gateway_${part}_total`,
+    help: `Number of ${part}s`,
+    labelNames: ['kind'],
+    registers,
+    collect: () => {
+      total.reset()
+      for (const [kind, { count }] of counts) total.inc({ kind }, count)
+    }
+  })
+  return (kind, ms) => {
+    const known = counts.get(kind)
+    if (known === undefined) {
+      counts.set(kind, { count: 1, ms })
+      return
+    }
+    known.count += 1
+    known.ms += ms
+  }
+}
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -32,6 +32,7 @@
 import { interpretGatewayEffect } from './interpretEffect.js'
 import { createGrantCaller } from './grantCaller.js'
 import { createLogBudget } from './logBudget.js'
+import { createLoopWatch } from './loopWatch.js'
 import { readGatewayStatus } from './gatewayStatus.js'
 import { followStore } from './storeFollower.js'
 
@@ -81,7 +82,8 @@
       gateway_configuration_version: now.configuration?.version ?? 0,
       gateway_placement_revision: now.placementVersion.revision,
       gateway_store_revision: now.storeRevision,
-      gateway_told: now.storeSource === 'told' ? 1 : 0
+      gateway_told: now.storeSource === 'told' ? 1 : 0,
+      gateway_events_waiting: program.countWaiting()
     }
   })
   const budget = createLogBudget({ timers, log: parts.log, countLeftOut: metrics.countLeftOut })
@@ -120,7 +122,8 @@
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => reduceGateway(current, event, parts.rules),
-    interpret: effect => interpretGatewayEffect(effect, interpreters)
+    interpret: effect => interpretGatewayEffect(effect, interpreters),
+    watch: createLoopWatch({ clock, metrics, log })
   })
   const probes = createProbeServer(wire.readinessPath, () => isGatewayReady(program.getState()))
   const admin = createAdminServer({
--- a/src/runtime/log.ts
+++ b/src/runtime/log.ts
@@ -27,7 +27,9 @@
   requestCut: 3306,
   linesLeftOut: 3307,
   hostBehind: 3308,
-  changesNotTaken: 3309
+  changesNotTaken: 3309,
+  eventLate: 3310,
+  eventLost: 3311
 } as const
 
 /** Builds a structured log on standard output, or none; it never blocks and drops what nobody reads. */
