Loop: events have a time budget for each turn, and callers' events go first

On a host that falls behind, events piled up: js-csp resumes a process with a setImmediate for each event it takes, so that the loop reduced one event in each turn of Node's event loop, while such a turn reads any number of sockets (3,000 events posted at once took 3,000 turns). Events of callers waited behind all control events.

The loop now takes events for up to 10 ms, and then lets sockets and timers have their turn. Events of callers' requests have a lane of their own, which goes first until control events that wait have had less than their half of the time by a turn. A full lane of control events refuses no event of a caller; what is refused is counted and logged.

Each lane has its own time in the state of a gateway, so that events that overtake ticks cause no doubt of leadership, and what was posted before a pause is not judged by the time after it.

--- /dev/null
+++ b/src/core/gateway/eventLane.ts
@@ -0,0 +1,19 @@
+import type { Lane } from '../lane.js'
+import type { GatewayEvent } from './events.js'
+
+/** Chooses the lane of an event: what callers wait for goes apart from the work on keys, leadership and the store. */
+export function chooseGatewayLane (event: GatewayEvent): Lane {
+  switch (event.kind) {
+    case 'request-arrived':
+    case 'caller-gone':
+    case 'not-run-answered':
+    case 'answer-whole':
+    case 'answer-streaming':
+    case 'answer-cut':
+    case 'send-failed':
+    case 'stray-bytes-read':
+      return 'callers'
+    default:
+      return 'control'
+  }
+}
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -4,6 +4,7 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { applyAbsence, applyRegistration, endLapsed } from './backends.js'
+import { chooseGatewayLane } from './eventLane.js'
 import { advanceGranting } from './granting.js'
 import { applyGrantResult, applyReleaseResult } from './grantSteps.js'
 import { advanceLeadership, applyClaim, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
@@ -19,10 +20,15 @@
 /** The reducer of a gateway: every decision on requests, keys and leadership is made here. */
 export function reduceGateway (state: GatewayState, event: GatewayEvent, rules: GatewayRules): Step<GatewayState, GatewayEffect> {
   const work: GatewayWork = { state, effects: [] }
-  // Ticks come every few milliseconds, so that a gap before any event shows a pause.
-  checkPause(work, event.now, event.kind === 'tick' ? event.wall : state.wall + event.now - state.now)
+  const lane = chooseGatewayLane(event)
+  const { laneNow } = state
+  // A control event never sees a later time than its lane's: what was posted before a pause must not be taken for late.
+  state.now = laneNow[lane]
+  // Ticks come every few milliseconds, so that a gap before any control event shows a pause.
+  if (lane === 'control') checkPause(work, event.now, event.kind === 'tick' ? event.wall : state.wall + event.now - state.now)
   if (event.kind === 'tick') state.wall = event.wall
-  state.now = Math.max(state.now, event.now)
+  laneNow[lane] = Math.max(laneNow[lane], event.now)
+  state.now = laneNow[lane]
   applyEvent(work, event, rules)
   return work
 }
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -1,3 +1,4 @@
+import type { Lane } from '../lane.js'
 import type { GatewayEffect } from './effects.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, KeyRange, Placement, PlacementVersion } from './model.js'
 import type { GatewayStop } from './stop.js'
@@ -139,7 +140,10 @@
 /** Whole state of a gateway. */
 export type GatewayState = {
   identity: GatewayIdentity
+  /** Time of the event at hand: that of its lane. */
   now: number
+  /** Time of each lane, whose events come in order; the other lane's may be older or newer. */
+  laneNow: Record<Lane, number>
   wall: number
   random: RandomGenerator
   stop: GatewayStop
@@ -203,6 +207,7 @@
   return {
     identity,
     now,
+    laneNow: { callers: now, control: now },
     wall: 0,
     random: xoroshiro128plus(seed),
     stop: buildStop(),
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -12,6 +12,7 @@
 import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import { createServer } from 'node:http'
+import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeLapseGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
 import { buildFleetLoad } from '../../core/gateway/loadExchange.js'
@@ -24,6 +25,7 @@
 import { listenHttp } from '../listen.js'
 import { runtimeEventNumbers } from '../log.js'
 import { startProgram } from '../program.js'
+import { processTurns } from '../turns.js'
 import { createBackendSender } from './backendSender.js'
 import { createCallerFront } from './callerFront.js'
 import { createFleetExchange } from './fleetExchange.js'
@@ -123,6 +125,8 @@
     state,
     reduce: (current, event) => reduceGateway(current, event, parts.rules),
     interpret: effect => interpretGatewayEffect(effect, interpreters),
+    chooseLane: chooseGatewayLane,
+    turns: { ...processTurns, clock },
     watch: createLoopWatch({ clock, metrics, log })
   })
   const probes = createProbeServer(wire.readinessPath, () => isGatewayReady(program.getState()))
--- a/src/runtime/gateway/loopWatch.ts
+++ b/src/runtime/gateway/loopWatch.ts
@@ -16,11 +16,10 @@
 
 /** Creates the watch of a gateway's loop: counts its work by kind and logs when it falls behind. */
 export function createLoopWatch (options: LoopWatchOptions): ProgramWatch<GatewayEvent, GatewayEffect> {
-  const { clock, metrics } = options
+  const { metrics } = options
   const logLate = createLineLimit(options, 'eventLate')
   const logLost = createLineLimit(options, 'eventLost')
   return {
-    clock,
     countEvent: ({ kind }, ms, waitedMs, waiting) => {
       metrics.countWork('event', kind, ms)
       if (waitedMs >= lateMs) logLate({ kind, waitedMs: Math.round(waitedMs), waiting })
--- a/src/runtime/program.ts
+++ b/src/runtime/program.ts
@@ -1,11 +1,14 @@
-import type { Clock } from './clock.js'
+import type { Lane, LaneCounts } from '../core/lane.js'
 import type { Reducer } from '../core/step.js'
+import type { Turns } from './turns.js'
 import csp from 'js-csp'
+import { chooseNextLane, computeLead } from '../core/lane.js'
+import { processTurns } from './turns.js'
 
-/** Events that may wait for the reducer. */
-const channelCapacity = 65_536
+/** Events of each lane that may wait for the reducer. */
+export const laneCapacity = 65_536
 
-/** A running program: one channel of events, one reducer, one interpreter of effects. */
+/** A running program: lanes of events, one reducer, one interpreter of effects. */
 export type Program<State, Event> = {
   /** Queues an event; false when the program is overloaded or has stopped. */
   post: (event: Event) => boolean
@@ -18,71 +21,111 @@
 
 /** Follows what a program spends its time on, in milliseconds. */
 export type ProgramWatch<Event, Effect> = {
-  clock: Clock
-  /** `ms`: time of the reducer; `waitedMs`: time between posting and reducing; `waiting`: events behind this one. */
+  /** `ms`: time of the reducer; `waitedMs`: time between posting and reducing; `waiting`: events that still wait. */
   countEvent: (event: Event, ms: number, waitedMs: number, waiting: number) => void
   countEffect: (effect: Effect, ms: number) => void
   /** An event was refused because too many wait. */
   countLost: (event: Event) => void
 }
 
-type Posted<Event> = { event: Event, postedAt: number }
-
 /** What a program is made of. */
 export type ProgramParts<State, Event, Effect> = {
   state: State
   reduce: Reducer<State, Event, Effect>
   interpret: (effect: Effect) => void
+  /** One lane holds all events when absent. */
+  chooseLane?: (event: Event) => Lane
+  turns?: Turns
   watch?: ProgramWatch<Event, Effect>
 }
 
-/** Starts a program; the loop waits on its channel and never spins. */
+type Posted<Event> = { event: Event, postedAt: number }
+
+/** Starts a program; the loop waits on its lanes and never spins. */
 export function startProgram<State, Event, Effect> (parts: ProgramParts<State, Event, Effect>): Program<State, Event> {
-  const { watch } = parts
-  const now = watch?.clock.now ?? (() => 0)
-  const events = csp.chan<Posted<Event>>(csp.buffers.fixed(channelCapacity))
+  const { watch, turns = processTurns, chooseLane = () => 'control' } = parts
+  const { now } = turns.clock
+  const channels = { callers: createLane<Event>(), control: createLane<Event>() }
+  const waiting: LaneCounts = { callers: 0, control: 0 }
+  const posts = csp.chan<true>(csp.buffers.sliding(1))
   let state = parts.state
-  let waiting = 0
+  let isIdle = true
   let stopped = false
-  const run = ({ event, postedAt }: Posted<Event>) => {
-    const startedAt = now()
+  const run = ({ event, postedAt }: Posted<Event>, startedAt: number) => {
     const step = parts.reduce(state, event)
     state = step.state
+    if (watch === undefined) {
+      for (const effect of step.effects) parts.interpret(effect)
+      return
+    }
     let at = now()
-    watch?.countEvent(event, at - startedAt, startedAt - postedAt, waiting)
+    watch.countEvent(event, at - startedAt, startedAt - postedAt, waiting.callers + waiting.control)
     for (const effect of step.effects) {
       parts.interpret(effect)
       const doneAt = now()
-      watch?.countEffect(effect, doneAt - at)
+      watch.countEffect(effect, doneAt - at)
       at = doneAt
     }
   }
   csp.go(function * () {
+    let startedAt = now()
+    let turnEndsAt = startedAt + turns.turnMs
+    let leadMs = 0
     while (true) {
-      const posted = (yield csp.take(events)) as Posted<Event> | null
       // Effects of events that were still waiting would reach for resources already given back.
-      if (posted === csp.CLOSED || stopped) return
-      waiting -= 1
-      run(posted as Posted<Event>)
+      if (stopped) return
+      if (waiting.callers + waiting.control === 0) {
+        isIdle = true
+        yield csp.take(posts)
+        startedAt = now()
+        turnEndsAt = startedAt + turns.turnMs
+        continue
+      }
+      if (startedAt >= turnEndsAt) {
+        yield csp.take(createTurn(turns))
+        startedAt = now()
+        turnEndsAt = startedAt + turns.turnMs
+        continue
+      }
+      const lane = chooseNextLane(waiting, leadMs, turns.turnMs)
+      waiting[lane] -= 1
+      run(csp.poll(channels[lane]) as Posted<Event>, startedAt)
+      const endedAt = now()
+      leadMs = computeLead(leadMs, lane, endedAt - startedAt, waiting, turns.turnMs)
+      startedAt = endedAt
     }
   })
   return {
     post: event => {
       if (stopped) return false
-      if (waiting >= channelCapacity) {
+      const lane = chooseLane(event)
+      if (waiting[lane] >= laneCapacity) {
         watch?.countLost(event)
         return false
       }
-      waiting += 1
-      csp.putAsync(events, { event, postedAt: now() })
+      waiting[lane] += 1
+      csp.putAsync(channels[lane], { event, postedAt: now() })
+      if (isIdle) csp.putAsync(posts, true)
+      isIdle = false
       return true
     },
     getState: () => state,
-    countWaiting: () => waiting,
+    countWaiting: () => waiting.callers + waiting.control,
     stop: () => {
       if (stopped) return
       stopped = true
-      events.close()
+      for (const channel of [channels.callers, channels.control, posts]) channel.close()
     }
   }
 }
+
+function createLane<Event> (): csp.Channel<Posted<Event>> {
+  return csp.chan(csp.buffers.fixed(laneCapacity))
+}
+
+/** Creates a channel that gives a value once the rest of the process had its turn. */
+function createTurn (turns: Turns): csp.Channel<true> {
+  const turn = csp.chan<true>()
+  turns.waitTurn(() => { csp.putAsync(turn, true) })
+  return turn
+}
--- /dev/null
+++ b/src/runtime/turns.ts
@@ -0,0 +1,17 @@
+import type { Clock } from './clock.js'
+import { systemClock } from './clock.js'
+
+/** Longest work of a program before sockets and timers have their turn, in milliseconds: far below what a caller notices. */
+export const turnMs = 10
+
+/** How a program shares its thread with the rest of the process. */
+export type Turns = {
+  clock: Clock
+  /** Longest work at a stretch, in milliseconds. */
+  turnMs: number
+  /** Calls `resume` once sockets and timers had their turn. */
+  waitTurn: (resume: () => void) => void
+}
+
+/** Turns of the event loop of Node.js. */
+export const processTurns: Turns = { clock: systemClock, turnMs, waitTurn: resume => { setImmediate(resume) } }
