--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -12,6 +12,7 @@
 import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import { createServer } from 'node:http'
+import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeLapseGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
 import { buildFleetLoad } from '../../core/gateway/loadExchange.js'
@@ -24,6 +25,7 @@
 import { listenHttp } from '../listen.js'
 import { runtimeEventNumbers } from '../log.js'
 import { startProgram } from '../program.js'
+import { processTurns } from '../turns.js'
 import { createBackendSender } from './backendSender.js'
 import { createCallerFront } from './callerFront.js'
 import { createFleetExchange } from './fleetExchange.js'
@@ -32,6 +34,7 @@
 import { interpretGatewayEffect } from './interpretEffect.js'
 import { createGrantCaller } from './grantCaller.js'
 import { createLogBudget } from './logBudget.js'
+import { createLoopWatch } from './loopWatch.js'
 import { readGatewayStatus } from './gatewayStatus.js'
 import { followStore } from './storeFollower.js'
 
@@ -81,7 +84,8 @@
       gateway_configuration_version: now.configuration?.version ?? 0,
       gateway_placement_revision: now.placementVersion.revision,
       gateway_store_revision: now.storeRevision,
-      gateway_told: now.storeSource === 'told' ? 1 : 0
+      gateway_told: now.storeSource === 'told' ? 1 : 0,
+      gateway_events_waiting: program.countWaiting()
     }
   })
   const budget = createLogBudget({ timers, log: parts.log, countLeftOut: metrics.countLeftOut })
@@ -120,7 +124,10 @@
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => reduceGateway(current, event, parts.rules),
-    interpret: effect => interpretGatewayEffect(effect, interpreters)
+    interpret: effect => interpretGatewayEffect(effect, interpreters),
+    chooseLane: chooseGatewayLane,
+    turns: { ...processTurns, clock },
+    watch: createLoopWatch({ clock, metrics, log })
   })
   const probes = createProbeServer(wire.readinessPath, () => isGatewayReady(program.getState()))
   const admin = createAdminServer({
