--- /dev/null
+++ b/tests/oddEntries.spec.ts
@@ -0,0 +1,71 @@
+import type { PlatformFleet } from './support/platform/platformFleet.js'
+import test from 'ava'
+import { decodeRegistration } from '../platform/registration.js'
+import { startGrantBackend } from './support/platform/grantBackend.js'
+import { buildConfiguration, callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
+
+/** An entry of a backend server that can be read. */
+const goodEntry = { service: 'plain', address: '127.0.0.1:9', zone: 'zone-1', version: 'v1', slots: 4, state: 'ready', cold_left_s: 0, sequence: 1, born: 1000 }
+/** Time within which a change is followed by every host, in milliseconds. */
+const followedWithinMs = 4000
+
+/** Addresses that no connection can be opened to, or that only a name service could resolve. */
+const oddAddresses = [
+  '127.0.0.1:0', '127.0.0.1:65536', '127.0.0.1:99999', '127.0.0.1:080000', '256.0.0.1:80', '10.0.0.999:80', '010.0.0.1:80', '10.0.0.1',
+  'backend.test:80', 'localhost:80', '[::1]:80', '::1:80', '127.0.0.1:80\n', '127.0.0.1:-1', '127.0.0.1:8e1'
+]
+
+/** Entries under odd keys or with odd values, as another writer may leave them. */
+const oddEntries: Record<string, () => Array<[key: string, value: string | Buffer]>> = {
+  address: () => oddAddresses.flatMap((address, index): Array<[string, string]> => ['plain', 'shards'].map(service => [`servers/odd-${service}-${index}`, JSON.stringify({ ...goodEntry, service, address })]))
+}
+
+/** Asks for keys and sends orders through every host; returns the statuses. */
+async function callAll (fleet: PlatformFleet, rounds: number): Promise<number[]> {
+  const statuses: number[] = []
+  for (let round = 0; round < rounds; round++) {
+    for (const gateway of fleet.gateways) {
+      const { callers } = gateway.addresses
+      const results = await Promise.all([
+        callGateway(callers, { path: '/reads/1', key: (round * 2311 + 7) % 65_536 }),
+        callGateway(callers, { path: '/orders/1', method: 'POST', body: 'a' })
+      ])
+      statuses.push(...results.map(result => result.status))
+    }
+  }
+  return statuses
+}
+
+/** Reads how many values a host has rejected. */
+async function readRejected (admin: string): Promise<number> {
+  const page = await (await fetch(`http://${admin}/metrics`)).text()
+  return Number(/^fulmar_gateway_rejected_values_total (\d+)/m.exec(page)?.[1])
+}
+
+for (const [kind, build] of Object.entries(oddEntries)) {
+  test(`entries that are odd (${kind}) among those of backend servers end no host: callers are served, and later changes are followed`, async t => {
+    const fleet = await startPlatformFleet({ gateways: 3, shards: 2, plain: 2 })
+    t.teardown(fleet.stop)
+    const entries = build()
+    for (const [key, value] of entries) fleet.store.put(key, value)
+    t.deepEqual((await callAll(fleet, 15)).filter(status => status !== 200), [])
+    const added = await startGrantBackend('added', { sharded: true })
+    t.teardown(added.close)
+    fleet.register(added, 'shards')
+    fleet.store.put('op/config', buildConfiguration(2))
+    await waitFor(() => fleet.gateways.every(gateway => {
+      const state = gateway.getState()
+      return state.configuration?.version === 2 && state.backends.has('added')
+    }), followedWithinMs)
+    t.deepEqual((await callAll(fleet, 5)).filter(status => status !== 200), [])
+    const known = fleet.gateways.map(gateway => [...gateway.getState().backends.keys()].sort())
+    t.deepEqual(known, fleet.gateways.map(() => ['added', 'plain-0', 'plain-1', 'shard-0', 'shard-1']))
+    for (const gateway of fleet.gateways) t.true(await readRejected(gateway.addresses.admin) >= entries.length)
+    t.true(fleet.events.some(event => event.msg === 'storeValueRejected' && event.fields.key === entries[0]?.[0] && event.fields.revision !== undefined))
+  })
+}
+
+test('a registration with a port out of range, or an address that only a name service could resolve, names no backend server', t => {
+  for (const address of oddAddresses) t.is(decodeRegistration('i-1', JSON.stringify({ ...goodEntry, address })).kind, 'invalid', address)
+  for (const address of ['127.0.0.1:1', '255.255.255.255:65535']) t.is(decodeRegistration('i-1', JSON.stringify({ ...goodEntry, address })).kind, 'valid', address)
+})
--- a/tests/support/platform/kvStandin.ts
+++ b/tests/support/platform/kvStandin.ts
@@ -178,7 +178,7 @@
     calls,
     put: (key, value) => {
       revision += 1
-      write(key, Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64'), 0, revision)
+      write(key, (Buffer.isBuffer(value) ? value : Buffer.from(typeof value === 'string' ? value : JSON.stringify(value))).toString('base64'), 0, revision)
     },
     remove: key => drop(key, ++revision),
     read: key => {
