A request or grant that Node.js refuses to open fails alone

http.request throws in the call for a port above 65535 and for a header with characters that none may have. The reducer's effects have nothing around them, so one such target ended the host. The decoder rejects the entries known to lead there; this is the second line, for targets that come another way (the placement's record, changes of owners told by the granting host).

The call now has the outcome of one that could not connect: connect-failed for a request, which is sent elsewhere, and failed for a grant or release. Evidence: the test got ERR_SOCKET_BAD_PORT out of send and call before.

--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -5,11 +5,11 @@
 import type { BackendConnections } from './backendConnections.js'
 import type { GatewayExchange, Sending } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
-import { request as openRequest } from 'node:http'
 import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
 import { boundReading } from '../readingPace.js'
 import { createBackendConnections } from './backendConnections.js'
+import { openRequest } from './requestOpening.js'
 
 /** Longest wait for a connection, in milliseconds: some round trips between regions. */
 const connectTimeoutMs = 400
@@ -91,6 +91,10 @@
     agent: effect.needsOwnConnection ? pool.singleUse : pool.agent,
     setHost: false
   })
+  if (request === undefined) {
+    options.post({ kind: 'send-failed', now: timers.clock.now(), id: exchange.id, attempt: effect.attempt, failure: 'connect-failed' })
+    return
+  }
   request.setNoDelay(true)
   boundReading(request, timers)
   watchAnswer(request, excess => {
--- a/src/runtime/gateway/grantCaller.ts
+++ b/src/runtime/gateway/grantCaller.ts
@@ -3,9 +3,10 @@
 import type { GrantOutcome } from '../../core/gateway/events.js'
 import type { TimerService } from '../timerService.js'
 import type { EncodedCall, GatewayWire } from './ports.js'
-import { Agent, request as openRequest } from 'node:http'
+import { Agent } from 'node:http'
 import { isParseError, watchAnswer, watchIdle } from '../answerExcess.js'
 import { splitAddress } from './backendSender.js'
+import { openRequest } from './requestOpening.js'
 
 /** Time an idle connection for grants is kept, in milliseconds: some renewals. */
 const idleConnectionMs = 3000
@@ -63,12 +64,6 @@
     stopTimer()
     done(outcome)
   }
-  const cut = () => {
-    finish({ kind: 'failed' })
-    // A reset discards what a cut link holds back, so that it does not arrive later.
-    request.socket?.resetAndDestroy()
-    request.destroy()
-  }
   const request = openRequest({
     ...splitAddress(target.address),
     agent,
@@ -77,6 +72,13 @@
     // A backend server that has taken the address over refuses what is meant for the one before it.
     headers: { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(call.body), [wire.headers.expectedBackend]: target.backend }
   })
+  if (request === undefined) return done({ kind: 'failed' })
+  const cut = () => {
+    finish({ kind: 'failed' })
+    // A reset discards what a cut link holds back, so that it does not arrive later.
+    request.socket?.resetAndDestroy()
+    request.destroy()
+  }
   const stopTimer = timers.schedule(timeoutMs, cut)
   const cutEndless = () => {
     notifyStray(target.backend)
--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -1,6 +1,13 @@
 import type { PlatformFleet } from './support/platform/platformFleet.js'
 import test from 'ava'
+import type { GrantOutcome, GatewayEvent } from '../src/core/gateway/events.js'
+import type { GatewayExchange } from '../src/runtime/gateway/exchanges.js'
 import { decodeRegistration } from '../platform/registration.js'
+import { platformWire } from '../platform/wireNames.js'
+import { createBackendSender } from '../src/runtime/gateway/backendSender.js'
+import { createGrantCaller } from '../src/runtime/gateway/grantCaller.js'
+import { systemClock } from '../src/runtime/clock.js'
+import { createTimerService } from '../src/runtime/timerService.js'
 import { startGrantBackend } from './support/platform/grantBackend.js'
 import { buildConfiguration, callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
@@ -78,3 +85,25 @@
   for (const id of oddIds) t.is(decodeRegistration(id, JSON.stringify(goodEntry)).kind, 'invalid', JSON.stringify(id))
   for (const id of ['i-7f3a91c2', 'a/b@c:d', 'x'.repeat(200), '__proto__', 'constructor']) t.is(decodeRegistration(id, JSON.stringify(goodEntry)).kind, 'valid', id)
 })
+
+/** Targets that Node.js refuses with an exception. */
+const refusedTargets = [{ backend: 'i-1', address: '127.0.0.1:99999' }, { backend: 'i-1', address: '127.0.0.1:-1' }, { backend: 'a\nb', address: '127.0.0.1:9' }, { backend: '\u65e5', address: '127.0.0.1:9' }]
+
+test('a request or grant that Node.js refuses to open fails alone, and ends no host', async t => {
+  const timers = createTimerService(systemClock)
+  t.teardown(timers.close)
+  const events: GatewayEvent[] = []
+  const sender = createBackendSender({ wire: platformWire, timers, post: event => events.push(event) > 0 })
+  const grants = createGrantCaller({ wire: platformWire, timers, notifyStray: () => {} })
+  t.teardown(sender.close)
+  t.teardown(grants.close)
+  const exchange = { id: '1', requestId: 'r-1', method: 'GET', path: '/', headers: [], first: Buffer.alloc(0), rest: undefined, request: { headers: {} }, sending: undefined } as unknown as GatewayExchange
+  for (const target of refusedTargets) {
+    sender.send(exchange, { kind: 'send', id: '1', attempt: 1, ...target, timeoutMs: 500, mayReuse: true, needsOwnConnection: false, maxIdleMs: 1000, maxConnections: 4 })
+    for (const kind of ['grant', 'release'] as const) {
+      const outcome = await new Promise<GrantOutcome>(resolve => grants.call(kind, target, { method: 'POST', path: '/', body: '{}' }, 500, resolve))
+      t.deepEqual(outcome, { kind: 'failed' })
+    }
+  }
+  t.deepEqual(events.map(event => event.kind === 'send-failed' ? event.failure : event.kind), refusedTargets.map(() => 'connect-failed'))
+})
