An entry with a start or count far too large no longer hides all later ones

Reports of a backend server are ordered by the start of its life and their own count, so that a late write changes nothing. One entry under its name with a born of 2^53-1 or 1e15, or a sequence of 2^53-1 or 1e12, made every later one look older: hosts ignored draining and new lives of it from then on, until they started again.

--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -8,6 +8,7 @@
 import { createGrantCaller } from '../src/runtime/gateway/grantCaller.js'
 import { systemClock } from '../src/runtime/clock.js'
 import { createTimerService } from '../src/runtime/timerService.js'
+import { encodeWithField, oddNumbers } from './support/oddValues.js'
 import { startGrantBackend } from './support/platform/grantBackend.js'
 import { buildConfiguration, callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
@@ -107,3 +108,27 @@
   }
   t.deepEqual(events.map(event => event.kind === 'send-failed' ? event.failure : event.kind), refusedTargets.map(() => 'connect-failed'))
 })
+
+for (const [field, value] of [['born', 9_007_199_254_740_991], ['born', 1e15], ['sequence', 9_007_199_254_740_991], ['sequence', 1e12]] as const) {
+  test.serial(`a backend server is followed on after an entry under its name with ${field} ${value}`, async t => {
+    const fleet = await startPlatformFleet({ gateways: 2, shards: 0, plain: 2 })
+    t.teardown(fleet.stop)
+    const [first] = fleet.plain
+    if (first === undefined) return t.fail()
+    fleet.register(first, 'plain', { [field]: value })
+    await waitFor(() => fleet.gateways.every(gateway => gateway.getState().storeRevision >= 5), followedWithinMs)
+    await new Promise(resolve => setTimeout(resolve, 500))
+    fleet.register(first, 'plain', { sequence: 2, state: 'draining' })
+    await waitFor(() => fleet.gateways.every(gateway => gateway.getState().backends.get(first.id)?.leaving === true), followedWithinMs)
+    t.deepEqual((await callAll(fleet, 5)).filter((status, index) => index % 2 === 1 && status !== 200), [])
+  })
+}
+
+test('a number of a registration that is out of range or no number is rejected, in each field that has one', t => {
+  for (const field of ['slots', 'cold_left_s', 'born', 'sequence']) {
+    for (const text of oddNumbers) {
+      if (text === '0.5' && field === 'cold_left_s') continue
+      t.is(decodeRegistration('i-1', encodeWithField(goodEntry, field, text)).kind, 'invalid', `${field} ${text}`)
+    }
+  }
+})
