--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -2,13 +2,15 @@
 import test from 'ava'
 import type { GrantOutcome, GatewayEvent } from '../src/core/gateway/events.js'
 import type { GatewayExchange } from '../src/runtime/gateway/exchanges.js'
+import { decodeConfiguration } from '../platform/configuration.js'
 import { decodeRegistration } from '../platform/registration.js'
 import { platformWire } from '../platform/wireNames.js'
+import { decodeGrantingHost, decodeGrantingRecord, decodePlacement } from '../src/protocol/placementRecord.js'
 import { createBackendSender } from '../src/runtime/gateway/backendSender.js'
 import { createGrantCaller } from '../src/runtime/gateway/grantCaller.js'
 import { systemClock } from '../src/runtime/clock.js'
 import { createTimerService } from '../src/runtime/timerService.js'
-import { encodeWithField, oddNumbers } from './support/oddValues.js'
+import { encodeWithField, nestedTexts, oddNumbers } from './support/oddValues.js'
 import { startGrantBackend } from './support/platform/grantBackend.js'
 import { buildConfiguration, callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
@@ -26,10 +28,23 @@
 /** Names that can't be sent as the value of a header as they are. */
 const oddIds = ['', 'a\r\nHost: other', 'a\nb', 'a\0b', 'a\x7fb', 'a b', ' a', 'a ', 'a\tb', 'caf\u00e9', '\u65e5\u672c', '\ud83d\ude00', '\ufffd', '\u2028']
 
+/** Values that are no text, no object, or an object of another kind. */
+const oddBytes = [
+  Buffer.alloc(0), Buffer.from([0xff, 0xfe, 0x00]), Buffer.from([0xc3, 0x28]), Buffer.alloc(1000), Buffer.from('\ufeff' + JSON.stringify(goodEntry)),
+  Buffer.from(JSON.stringify(goodEntry).slice(0, -1)),
+  Buffer.from('null'), Buffer.from('[]'), Buffer.from('""'), Buffer.from('{"__proto__":' + JSON.stringify(goodEntry) + '}'), Buffer.from('{"constructor":{"prototype":1}}')
+]
+
 /** Entries under odd keys or with odd values, as another writer may leave them. */
 const oddEntries: Record<string, () => Array<[key: string, value: string | Buffer]>> = {
   address: () => oddAddresses.flatMap((address, index): Array<[string, string]> => ['plain', 'shards'].map(service => [`servers/odd-${service}-${index}`, JSON.stringify({ ...goodEntry, service, address })])),
-  id: () => oddIds.flatMap((id, index): Array<[string, string]> => ['plain', 'shards'].map(service => [`servers/${id}${id === '' ? '' : service}`, JSON.stringify({ ...goodEntry, service, address: `127.0.0.1:${index + 1}` })]))
+  id: () => oddIds.flatMap((id, index): Array<[string, string]> => ['plain', 'shards'].map(service => [`servers/${id}${id === '' ? '' : service}`, JSON.stringify({ ...goodEntry, service, address: `127.0.0.1:${index + 1}` })])),
+  nesting: () => nestedTexts.flatMap((text, index): Array<[string, string]> => [
+    [`servers/odd-whole-${index}`, text],
+    ...['service', 'address', 'unknown'].map((field): [string, string] => [`servers/odd-${field}-${index}`, encodeWithField(goodEntry, field, text)])
+  ]),
+  numbers: () => ['slots', 'born', 'sequence'].flatMap(field => oddNumbers.map((text, index): [string, string] => [`servers/odd-${field}-${index}`, encodeWithField(goodEntry, field, text)])),
+  bytes: () => oddBytes.map((value, index): [string, Buffer] => [`servers/odd-${index}`, value])
 }
 
 /** Asks for keys and sends orders through every host; returns the statuses. */
@@ -54,6 +69,16 @@
   return Number(/^fulmar_gateway_rejected_values_total (\d+)/m.exec(page)?.[1])
 }
 
+/** Waits until a host has rejected so many values. */
+async function waitForRejected (admin: string, count: number): Promise<void> {
+  let rejected = 0
+  for (const end = Date.now() + followedWithinMs; rejected < count && Date.now() < end;) {
+    rejected = await readRejected(admin)
+    await new Promise(resolve => setTimeout(resolve, 50))
+  }
+  if (rejected < count) throw new Error(`${rejected} of ${count} values were rejected`)
+}
+
 for (const [kind, build] of Object.entries(oddEntries)) {
   test.serial(`entries that are odd (${kind}) among those of backend servers end no host: callers are served, and later changes are followed`, async t => {
     const fleet = await startPlatformFleet({ gateways: 3, shards: 2, plain: 2 })
@@ -72,7 +97,8 @@
     t.deepEqual((await callAll(fleet, 5)).filter(status => status !== 200), [], JSON.stringify(fleet.events.filter(event => event.msg === 'requestRefused')))
     const known = fleet.gateways.map(gateway => [...gateway.getState().backends.keys()].sort())
     t.deepEqual(known, fleet.gateways.map(() => ['added', 'plain-0', 'plain-1', 'shard-0', 'shard-1']))
-    for (const gateway of fleet.gateways) t.true(await readRejected(gateway.addresses.admin) >= new Set(entries.map(([key]) => key)).size)
+    // Hosts read large values from the store, one after another.
+    for (const gateway of fleet.gateways) await waitForRejected(gateway.addresses.admin, new Set(entries.map(([key]) => key)).size)
     t.true(fleet.events.some(event => event.msg === 'storeValueRejected' && event.fields.key === entries[0]?.[0] && event.fields.revision !== undefined))
   })
 }
@@ -132,3 +158,22 @@
     }
   }
 })
+
+test('a registration that is nested deeply, or no text of its kind, names no backend server', t => {
+  for (const value of oddBytes) t.is(decodeRegistration('i-1', value.toString()).kind, 'invalid', value.toString())
+  for (const text of nestedTexts) {
+    t.is(decodeRegistration('i-1', text).kind, 'invalid')
+    for (const field of [...Object.keys(goodEntry), 'unknown']) t.is(decodeRegistration('i-1', encodeWithField(goodEntry, field, text)).kind, 'invalid', field)
+  }
+})
+
+test('values of other keys that are nested deeply or no text of their kind are refused, and never throw', t => {
+  for (const text of [...nestedTexts, ...oddBytes.map(value => value.toString())]) {
+    t.is(decodeConfiguration(text).kind, 'invalid')
+    t.is(decodePlacement(text), undefined)
+    t.is(decodeGrantingHost(text), undefined)
+    t.is(decodeGrantingRecord(text), undefined)
+    for (const field of ['version', 'routes', 'services', 'limits']) t.notThrows(() => decodeConfiguration(encodeWithField(buildConfiguration(1), field, text)))
+    for (const field of ['nextFence', 'holders', 'services', 'hosts', 'serviceMs']) t.notThrows(() => decodePlacement(encodeWithField({ nextFence: 1, holders: [], services: {} }, field, text)))
+  }
+})
--- a/tests/support/platform/kvStandin.ts
+++ b/tests/support/platform/kvStandin.ts
@@ -4,6 +4,11 @@
 /** Part of an answer that goes over a slow link at once, in bytes. */
 const pieceBytes = 64 * 1024
 
+/** Most items of one page of a reading; few, so that tests read several pages. */
+const maxPageItems = 20
+/** Most bytes of one page, unless one item has more: as on the platform. */
+const maxPageBytes = 1024 * 1024
+
 type Item = { key: string, value: string, revision: number, created: number, lease: number }
 type Change = Item | { key: string, revision: number, deleted: true }
 
@@ -126,7 +131,8 @@
         const prefix = url.searchParams.get('path_prefix') ?? ''
         const after = url.searchParams.get('after') ?? ''
         const found = [...items.values()].filter(item => item.key.startsWith(prefix) && item.key > after).sort((a, b) => a.key < b.key ? -1 : 1)
-        return reply(response, 200, { items: found.slice(0, 20), has_more: found.length > 20, as_of: revision })
+        const page = takePage(found)
+        return reply(response, 200, { items: page, has_more: found.length > page.length, as_of: revision })
       }
       case 'kv-watch': return answerWatch(url.searchParams, response)
       case 'kv-lease': {
@@ -201,6 +207,18 @@
   }
 }
 
+/** Takes what one page of a reading holds, at least one item. */
+function takePage (items: readonly Item[]): Item[] {
+  const page: Item[] = []
+  let bytes = 0
+  for (const item of items.slice(0, maxPageItems)) {
+    bytes += item.value.length
+    if (page.length > 0 && bytes > maxPageBytes) break
+    page.push(item)
+  }
+  return page
+}
+
 function send (response: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body)
   response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
