A registration that is no UTF-8 names no backend server

Bytes that are no UTF-8 were read as U+FFFD, and an entry with some within a text was valid with another text than was written. Evidence: the test with an entry of a zone with byte 0xff found it listed on all three hosts before.

--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -31,7 +31,7 @@
 /** Values that are no text, no object, or an object of another kind. */
 const oddBytes = [
   Buffer.alloc(0), Buffer.from([0xff, 0xfe, 0x00]), Buffer.from([0xc3, 0x28]), Buffer.alloc(1000), Buffer.from('\ufeff' + JSON.stringify(goodEntry)),
-  Buffer.from(JSON.stringify(goodEntry).slice(0, -1)),
+  Buffer.from(JSON.stringify({ ...goodEntry, zone: 'z@' }).replace('@', '\xff'), 'latin1'), Buffer.from(JSON.stringify(goodEntry).slice(0, -1)),
   Buffer.from('null'), Buffer.from('[]'), Buffer.from('""'), Buffer.from('{"__proto__":' + JSON.stringify(goodEntry) + '}'), Buffer.from('{"constructor":{"prototype":1}}')
 ]
 
