A team's document with sections that can't be read ends no router

A document in the store with a section of many levels ended every router and controller that read it: buildPlain recursed once a level and threw RangeError (10,000 levels), within the handler of the watch or a read that nobody waits for. A section under a key whose value is null made the INI library throw TypeError. fulmarctl ended alike.

The library's exceptions become a problem of the text; what lies below eight levels of sections is left out, since every schema refuses sections that deep as unknown.

--- a/src/protocol/iniSchema.ts
+++ b/src/protocol/iniSchema.ts
@@ -10,6 +10,9 @@
 /** Longest INI text that is read, in characters. */
 const maxTextLength = 900_000
 
+/** Levels of sections that are read: more than any schema has, so that deeper ones are still named as unknown. */
+const maxSectionDepth = 8
+
 /** Schema of a whole number within bounds, written as text. */
 export function buildNumberField (lowest: number, highest: number, description: string) {
   const allowed = `a number from ${lowest} to ${highest}`
@@ -51,11 +54,22 @@
   if (text.length > maxTextLength) return buildInvalid('', '', `at most ${maxTextLength} characters`)
   const duplicate = findDuplicate(text)
   if (duplicate !== undefined) return { kind: 'invalid', problems: [duplicate] }
-  const result = schema.safeParse(buildPlain(parse(text)))
+  const sections = parseSections(text)
+  if (sections.kind === 'invalid') return sections
+  const result = schema.safeParse(buildPlain(sections.value))
   if (result.success) return { kind: 'valid', value: result.data }
   return { kind: 'invalid', problems: result.error.issues.flatMap(formatIssue) }
 }
 
+/** The INI library throws when a section stands where a value was. */
+function parseSections (text: string): TextOutcome<unknown> {
+  try {
+    return { kind: 'valid', value: parse(text) }
+  } catch (error) {
+    return buildInvalid('', '', `text that can be divided into sections: ${(error as Error).message}`)
+  }
+}
+
 /** Builds an outcome with one problem. */
 export function buildInvalid (section: string, key: string, allowed: string): TextOutcome<never> {
   return { kind: 'invalid', problems: [{ section, key, allowed }] }
@@ -94,10 +108,11 @@
   return undefined
 }
 
-/** The INI library returns objects without prototype, which the schema library does not take. */
-function buildPlain (value: unknown): unknown {
+/** The INI library returns objects without prototype, which the schema library does not take. What lies below the deepest section of any schema is left out; its section is unknown. */
+function buildPlain (value: unknown, depth = 0): unknown {
   if (typeof value !== 'object' || value === null || Array.isArray(value)) return value
-  return Object.fromEntries(Object.entries(value).map(([key, each]) => [key, buildPlain(each)]))
+  if (depth >= maxSectionDepth) return {}
+  return Object.fromEntries(Object.entries(value).map(([key, each]) => [key, buildPlain(each, depth + 1)]))
 }
 
 function formatIssue (issue: z.core.$ZodIssue): TextProblem[] {
--- /dev/null
+++ b/tests/routerOddEntries.spec.ts
@@ -0,0 +1,42 @@
+import test from 'ava'
+import { decodeLeadership } from '../src/runtime/leadership.js'
+import { decodeRecord, decodeStoredDocument } from '../src/protocol/storeRecords.js'
+import { encodeWithField, nestedTexts } from './support/oddValues.js'
+
+/** Keys of each kind of record. */
+const recordKeys = ['fulmar/documents/x', 'fulmar/assignments/x.y', 'fulmar/fleet', 'fulmar/routers/x']
+const assignment = { revision: 1, operation: 'o', backends: [], ranges: [[-1, 1, -1, -1]], keys: [], holders: [] }
+const entry = { router: 'r-1', address: '10.0.0.1:7001', adminAddress: '10.0.0.1:7002', zone: 'z-1', generation: 1 }
+
+/** Wraps the text of a team's document as it is stored. */
+function wrapDocument (text: string): string {
+  return JSON.stringify({ revision: 1, operation: 'o', earlier: [], author: 'a', text })
+}
+
+/** Texts that the INI library can't put into sections, or puts into very deep ones. */
+const oddDocuments = [
+  '[' + 'a.'.repeat(10_000) + 'a]\nx=1\n',
+  '[' + 'a.'.repeat(400_000) + 'a]\nx=1\n',
+  'x=1\r[' + 'a.'.repeat(10_000) + 'a]\ny=1\n',
+  `["${'a\\u002e'.repeat(10_000)}a"]\nx=1\n`,
+  'team=null\n[team.x]\nname=x\n',
+  '[]\n[.]\n[..]\n=\n',
+  '[__proto__.a]\nb=1\n',
+  'team[]=1\n[team.x]\ny=1\n'
+]
+
+for (const [index, text] of oddDocuments.entries()) {
+  test(`a team's document with sections that can't be read is rejected, and ends no router (${index})`, t => {
+    t.is(decodeRecord('fulmar/documents/x', wrapDocument(text))?.kind, 'rejected')
+  })
+}
+
+test('records that are nested deeply are rejected, and end no router', t => {
+  for (const text of nestedTexts) {
+    for (const key of recordKeys) t.is(decodeRecord(key, text)?.kind, 'rejected', key)
+    t.is(decodeStoredDocument(text), undefined)
+    t.is(decodeLeadership(text), undefined)
+    for (const field of Object.keys(assignment)) t.is(decodeRecord('fulmar/assignments/x.y', encodeWithField(assignment, field, text))?.kind, 'rejected', field)
+    for (const field of Object.keys(entry).filter(name => name !== 'generation')) t.is(decodeRecord('fulmar/routers/x', encodeWithField(entry, field, text))?.kind, 'rejected', field)
+  }
+})
