Records with an address that gRPC can't parse end no host and no router

A client of grpc-js throws where it is created for an address that is empty or begins with a line break. The address of the granting host, of the leading controller and of routers in the fleet's record came from the store unchecked, so that one such record ended every process that opened a stream to it. Other odd addresses were asked of a name service again and again.

All of them are now addresses with a port from 1 to 65535, and the record is rejected else. Evidence: setTarget of the report client threw "Could not parse target name" before; fleet, registrations, leadership and the granting host's records took all of the odd addresses.

--- a/src/protocol/placementRecord.ts
+++ b/src/protocol/placementRecord.ts
@@ -1,6 +1,7 @@
 import type { GrantingHost, GrantingRecord, Holder, KeyRange, Placement } from '../core/gateway/model.js'
 import * as z from 'zod'
 import { keyCount } from '../core/gateway/model.js'
+import { isConnectable } from './address.js'
 
 /** Key of the placement of all sharded services. */
 export const placementKey = 'fulmar/placement'
@@ -21,7 +22,7 @@
   hosts: z.number().int().positive().default(1),
   serviceMs: z.array(z.number().int().nonnegative()).default([])
 })
-const grantingHostSchema = z.object({ host: z.string(), address: z.string() })
+const grantingHostSchema = z.object({ host: z.string(), address: z.string().refine(isConnectable) })
 const grantingRecordSchema = grantingHostSchema.extend({ unsettled: z.array(grantingHostSchema) })
 
 /** Encodes a placement. It goes to every host at each change: holders stand once, and a range ends where the next begins. */
--- a/src/protocol/storeRecords.ts
+++ b/src/protocol/storeRecords.ts
@@ -2,6 +2,7 @@
 import type { ControllerRecord, Registration } from '../core/controller/controllerState.js'
 import * as z from 'zod'
 import { assignmentPrefix, fleetKey } from '../core/controller/reduceController.js'
+import { isConnectable } from './address.js'
 import { parseDocument } from './documentText.js'
 
 /** Prefix of every key that fulmarfront writes. */
@@ -31,6 +32,7 @@
   text: z.string()
 })
 
+const addressSchema = z.string().refine(isConnectable)
 const epochSchema = z.number().int().nonnegative()
 const unitSchema = z.tuple([z.number().int(), epochSchema, z.number().int(), z.number().int()])
 const assignmentSchema = z.object({
@@ -46,8 +48,8 @@
   operation: z.string(),
   routers: z.array(z.object({
     router: z.string(),
-    address: z.string(),
-    adminAddress: z.string(),
+    address: addressSchema,
+    adminAddress: addressSchema,
     zone: z.string(),
     generation: z.number().int(),
     successor: z.string().optional(),
@@ -57,8 +59,8 @@
 })
 const registrationSchema = z.object({
   router: z.string(),
-  address: z.string(),
-  adminAddress: z.string(),
+  address: addressSchema,
+  adminAddress: addressSchema,
   zone: z.string()
 })
 
--- a/src/runtime/leadership.ts
+++ b/src/runtime/leadership.ts
@@ -1,6 +1,7 @@
 import type { StoreClient } from './storeClient.js'
 import type { TimerService, Unsubscribe } from './timerService.js'
 import * as z from 'zod'
+import { isConnectable } from '../protocol/address.js'
 import { leadershipKey } from '../protocol/storeRecords.js'
 
 /** Time a leadership lasts without renewal, in seconds. */
@@ -8,7 +9,7 @@
 /** Time between two renewals or attempts, in milliseconds. */
 const campaignIntervalMs = 1000
 
-const leadershipSchema = z.object({ controller: z.string(), address: z.string() })
+const leadershipSchema = z.object({ controller: z.string(), address: z.string().refine(isConnectable) })
 
 /** Who leads and where it can be reached. */
 export type Leadership = z.output<typeof leadershipSchema>
--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -177,3 +177,11 @@
     for (const field of ['nextFence', 'holders', 'services', 'hosts', 'serviceMs']) t.notThrows(() => decodePlacement(encodeWithField({ nextFence: 1, holders: [], services: {} }, field, text)))
   }
 })
+
+test('the record of a granting host whose address no stream can be opened to is refused', t => {
+  for (const address of ['', '\n', 'host', 'a b:1', '%zz:80', ...oddAddresses.filter(each => each !== '[::1]:80')]) {
+    t.is(decodeGrantingHost(JSON.stringify({ host: 'h', address })), undefined, address)
+    t.is(decodeGrantingRecord(JSON.stringify({ host: 'h', address, unsettled: [] })), undefined, address)
+  }
+  for (const address of ['10.0.0.1:7000', '[::1]:7000']) t.deepEqual(decodeGrantingHost(JSON.stringify({ host: 'h', address })), { host: 'h', address })
+})
--- a/tests/routerOddEntries.spec.ts
+++ b/tests/routerOddEntries.spec.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
+import { credentials } from '@grpc/grpc-js'
 import { decodeLeadership } from '../src/runtime/leadership.js'
+import { createReportClient } from '../src/runtime/reportClient.js'
 import { decodeRecord, decodeStoredDocument } from '../src/protocol/storeRecords.js'
 import { encodeWithField, nestedTexts } from './support/oddValues.js'
 
@@ -40,3 +42,20 @@
     for (const field of Object.keys(entry).filter(name => name !== 'generation')) t.is(decodeRecord('fulmar/routers/x', encodeWithField(entry, field, text))?.kind, 'rejected', field)
   }
 })
+
+test('records with an address that no connection can be opened to are rejected, and end no router', t => {
+  for (const address of ['', '\n', 'host', '10.0.0.1:99999', '10.0.0.1:0', '999.0.0.1:80', 'router.test:80']) {
+    t.is(decodeLeadership(JSON.stringify({ controller: 'c', address })), undefined, address)
+    for (const field of ['address', 'adminAddress']) {
+      t.is(decodeRecord('fulmar/routers/x', JSON.stringify({ ...entry, [field]: address }))?.kind, 'rejected', `${field} ${address}`)
+      t.is(decodeRecord('fulmar/fleet', JSON.stringify({ revision: 1, operation: 'o', routers: [{ ...entry, [field]: address }] }))?.kind, 'rejected', `${field} ${address}`)
+    }
+  }
+  t.is(decodeRecord('fulmar/fleet', JSON.stringify({ revision: 1, operation: 'o', routers: [entry] }))?.kind, 'fleet')
+})
+
+test('a leadership whose address no call can be sent to ends no router', t => {
+  const reports = createReportClient(credentials.createInsecure())
+  t.teardown(reports.close)
+  for (const address of ['\n', '', ':', '10.0.0.1:99999']) t.notThrows(() => reports.setTarget(JSON.stringify({ controller: 'c', address })), JSON.stringify(address))
+})
