A placement with numbers that can't be told to other hosts is refused

A placement's record with a start below 0 or more than 2^32 hosts was taken, and then could not be encoded for the streams to other hosts: uint64 and uint32 throw (invalid uint64: -1; invalid uint32:). A next fencing token of 2^53-1 made those after it no whole numbers that the record's own schema takes. Bounds are in the schema now. Evidence: the test's records were taken before; each throw was seen when encoding such a change or view.

--- a/src/protocol/placementRecord.ts
+++ b/src/protocol/placementRecord.ts
@@ -10,17 +10,25 @@
 /** Key of the host that granted keys last; unlike the other it stays when that host's lease ends. */
 export const lastGrantingHostKey = 'fulmar/last-granting-host'
 
-const holderSchema = z.tuple([z.string(), z.number().int(), z.string()])
+/** Highest fencing token: those above it that follow are whole numbers as well. */
+const maxFence = 2 ** 52
+/** Most hosts of a fleet: forty times the size designed for. */
+const maxHosts = 100_000
+/** Longest service time, in milliseconds: a day, the longest time-out of a route. */
+const maxServiceMs = 86_400_000
+
+const holderSchema = z.tuple([z.string(), z.number().int().nonnegative(), z.string()])
+const fenceSchema = z.number().int().positive().max(maxFence)
 const indexSchema = z.number().int().nonnegative()
 /** First key, fencing token, owner, former owner or -1, 1 while moving. */
-const rangeSchema = z.tuple([z.number().int().min(0).max(keyCount - 1), z.number().int().positive(), indexSchema, z.number().int().min(-1), z.number().int().min(0).max(1)])
+const rangeSchema = z.tuple([z.number().int().min(0).max(keyCount - 1), fenceSchema, indexSchema, z.number().int().min(-1), z.number().int().min(0).max(1)])
 const placementSchema = z.object({
-  nextFence: z.number().int().positive(),
+  nextFence: fenceSchema,
   holders: z.array(holderSchema),
   services: z.record(z.string(), z.array(rangeSchema)),
   /** Hosts, and the service time of each holder in milliseconds or 0: for hosts that start. */
-  hosts: z.number().int().positive().default(1),
-  serviceMs: z.array(z.number().int().nonnegative()).default([])
+  hosts: z.number().int().positive().max(maxHosts).default(1),
+  serviceMs: z.array(z.number().int().nonnegative().max(maxServiceMs)).default([])
 })
 const grantingHostSchema = z.object({ host: z.string(), address: z.string().refine(isConnectable) })
 const grantingRecordSchema = grantingHostSchema.extend({ unsettled: z.array(grantingHostSchema) })
--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -185,3 +185,18 @@
   }
   for (const address of ['10.0.0.1:7000', '[::1]:7000']) t.deepEqual(decodeGrantingHost(JSON.stringify({ host: 'h', address })), { host: 'h', address })
 })
+
+test('a placement with numbers that can\'t be told to other hosts is refused', t => {
+  const holder = ['i-1', 1000, '10.0.0.9:80']
+  const build = (extra: Record<string, unknown>) => ({ nextFence: 5, holders: [holder], services: { shards: [[0, 1, 0, -1, 0]] }, hosts: 4, serviceMs: [7], ...extra })
+  const odd = (value: number) => [
+    { nextFence: value }, { hosts: value }, { serviceMs: [value] },
+    // The greatest whole number can be told.
+    ...(value === 2 ** 53 - 1 ? [] : [{ holders: [['i-1', value, '10.0.0.9:80']] }]),
+    ...[[value, 1, 0, -1, 0], [0, value, 0, -1, 0], [0, 1, value, -1, 0], [0, 1, 0, value, 0], [0, 1, 0, -1, value]].map(range => ({ services: { shards: [range] } }))
+  ]
+  t.not(decodePlacement(JSON.stringify(build({}))), undefined)
+  for (const value of [-2, 0.5, 1e21, 1e308, 2 ** 53, 2 ** 53 - 1]) {
+    for (const extra of odd(value)) t.is(decodePlacement(JSON.stringify(build(extra))), undefined, JSON.stringify(extra))
+  }
+})
