A key that is no whole Unicode at the end of a page ends no host

The next page of a reading is asked for after the last key, and a large value by its key. encodeURIComponent throws URIError for half a pair of UTF-16, as a store may write for bytes that are no UTF-8; the reading is a detached task, whose exception ends the process.

--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -1,9 +1,11 @@
 import type { PlatformFleet } from './support/platform/platformFleet.js'
 import test from 'ava'
+import { createServer } from 'node:http'
 import type { GrantOutcome, GatewayEvent } from '../src/core/gateway/events.js'
 import type { GatewayExchange } from '../src/runtime/gateway/exchanges.js'
 import { decodeConfiguration } from '../platform/configuration.js'
 import { decodeRegistration } from '../platform/registration.js'
+import { createKvStore } from '../platform/kvStore.js'
 import { platformWire } from '../platform/wireNames.js'
 import { decodeGrantingHost, decodeGrantingRecord, decodePlacement } from '../src/protocol/placementRecord.js'
 import { createBackendSender } from '../src/runtime/gateway/backendSender.js'
@@ -11,6 +13,7 @@
 import { systemClock } from '../src/runtime/clock.js'
 import { createTimerService } from '../src/runtime/timerService.js'
 import { encodeWithField, nestedTexts, oddNumbers } from './support/oddValues.js'
+import { listen } from './support/platform/kvStandin.js'
 import { startGrantBackend } from './support/platform/grantBackend.js'
 import { buildConfiguration, callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 
@@ -200,3 +203,23 @@
     for (const extra of odd(value)) t.is(decodePlacement(JSON.stringify(build(extra))), undefined, JSON.stringify(extra))
   }
 })
+
+test('keys that are no whole Unicode are asked for, and end no host', async t => {
+  const server = createServer((request, response) => {
+    const url = new URL(request.url ?? '/', 'http://store')
+    const isFirst = !url.searchParams.has('after')
+    const page = { items: isFirst ? [{ key: 'servers/\udcff', value: '', revision: 2 }] : [{ key: 'servers/z', value: '', revision: 3 }], has_more: isFirst, as_of: 3 }
+    response.end(JSON.stringify(url.pathname === '/-/kv-range' ? page : { ...page.items[0], as_of: 3 }))
+  })
+  const timers = createTimerService(systemClock)
+  const store = createKvStore(await listen(server), timers)
+  t.teardown(() => {
+    store.close()
+    timers.close()
+    server.close()
+  })
+  const read = await store.readAll('')
+  t.is(read.kind, 'read')
+  if (read.kind === 'read') t.deepEqual(read.items.map(item => item.revision), [2, 3])
+  t.is((await store.readKey('servers/\udcff')).kind, 'read')
+})
