A team's document with an IP address of numbers above 255 is rejected

Routers looked such an address up in DNS at each probe and request. The document is refused with its section and key now, as it is for a port out of range. Evidence: 999.0.0.1:80, 10.0.0.256:80 and [::1::2]:80 were taken before.

--- a/src/protocol/documentText.ts
+++ b/src/protocol/documentText.ts
@@ -3,6 +3,7 @@
 import type { TextOutcome, TextProblem } from './iniSchema.js'
 import * as z from 'zod'
 import { ranks } from '../core/domain/rank.js'
+import { isConnectable } from './address.js'
 import {
   addressAllowed, addressPattern, buildChoiceField, buildFlagField, buildNumberField, buildTextField,
   nameAllowed, namePattern, parseIni
@@ -115,6 +116,7 @@
   for (const [name, backend] of Object.entries(raw.backend)) {
     const { port } = parseAddress(backend.address)
     if (port < 1 || port > 65_535) problems.push({ section: `backend.${name}`, key: 'address', allowed: 'a port from 1 to 65535' })
+    else if (!isConnectable(backend.address)) problems.push({ section: `backend.${name}`, key: 'address', allowed: 'the numbers of an IP address' })
     if (addresses.has(backend.address)) problems.push({ section: `backend.${name}`, key: 'address', allowed: 'an address of its own' })
     addresses.add(backend.address)
   }
--- a/tests/routerOddEntries.spec.ts
+++ b/tests/routerOddEntries.spec.ts
@@ -1,9 +1,12 @@
 import test from 'ava'
+import { readFileSync } from 'node:fs'
 import { credentials } from '@grpc/grpc-js'
 import { decodeLeadership } from '../src/runtime/leadership.js'
+import { applyDocument } from '../src/operator/applyDocument.js'
 import { createReportClient } from '../src/runtime/reportClient.js'
 import { decodeRecord, decodeStoredDocument } from '../src/protocol/storeRecords.js'
 import { encodeWithField, nestedTexts } from './support/oddValues.js'
+import { call, startFleet } from './support/fleet.js'
 
 /** Keys of each kind of record. */
 const recordKeys = ['fulmar/documents/x', 'fulmar/assignments/x.y', 'fulmar/fleet', 'fulmar/routers/x']
@@ -59,3 +62,23 @@
   t.teardown(reports.close)
   for (const address of ['\n', '', ':', '10.0.0.1:99999']) t.notThrows(() => reports.setTarget(JSON.stringify({ controller: 'c', address })), JSON.stringify(address))
 })
+
+test.serial('odd records among those of the fleet end no router and no controller, and later documents are followed', async t => {
+  const { fleet, timers } = await startFleet(t)
+  for (const [index, text] of oddDocuments.entries()) await fleet.operatorStore.compareAndSwap(`fulmar/documents/odd-${index}`, 0, wrapDocument(text))
+  for (const [index, text] of nestedTexts.slice(0, 2).entries()) {
+    for (const prefix of ['documents', 'assignments', 'routers', 'other']) await fleet.operatorStore.compareAndSwap(`fulmar/${prefix}/nested-${index}`, 0, text)
+  }
+  await fleet.operatorStore.compareAndSwap('fulmar/routers/odd', 0, JSON.stringify({ ...entry, router: 'odd', address: '\n' }))
+  await applyDocument(fleet.operatorStore, { team: 'demo', text: fleet.documentText, base: 1, author: 'test' }, timers)
+  await fleet.waitUntil(() => fleet.routers.every(router => router.getState().documents.get('demo')?.revision === 2), 8000)
+  t.is((await call(fleet.routers[0]?.address ?? '', { host: 'catalogue.demo.test', path: '/items/a' })).status, 200)
+})
+
+test('a document with an address whose numbers are above 255 is rejected: only a name service could resolve it', t => {
+  const text = readFileSync(new URL('../examples/local/wheelwise.ini', import.meta.url), 'utf8')
+  t.is(decodeRecord('fulmar/documents/x', wrapDocument(text))?.kind, 'document')
+  for (const address of ['999.0.0.1:80', '10.0.0.256:80', '10.0.0.1:0', '10.0.0.1:65536', '[::1::2]:80']) {
+    t.is(decodeRecord('fulmar/documents/x', wrapDocument(text.replace(/^address = \S+/m, `address = ${address}`)))?.kind, 'rejected', address)
+  }
+})
