Records with an epoch or revision of 2^53-1 are rejected

A number one higher is no whole number that the same schema takes, so that a record written after one of 2^53-1 was rejected by every router from then on. Evidence: assignments and fleets with 2^53-1 were taken before.

--- a/src/protocol/storeRecords.ts
+++ b/src/protocol/storeRecords.ts
@@ -24,8 +24,12 @@
   text: string
 }
 
+/** Highest revision, epoch or generation: those above it that follow are whole numbers as well. */
+const maxCount = 2 ** 52
+const revisionSchema = z.number().int().positive().max(maxCount)
+
 const storedDocumentSchema = z.object({
-  revision: z.number().int().positive(),
+  revision: revisionSchema,
   operation: z.string(),
   earlier: z.array(z.string()).default([]),
   author: z.string(),
@@ -33,10 +37,10 @@
 })
 
 const addressSchema = z.string().refine(isConnectable)
-const epochSchema = z.number().int().nonnegative()
+const epochSchema = z.number().int().nonnegative().max(maxCount)
 const unitSchema = z.tuple([z.number().int(), epochSchema, z.number().int(), z.number().int()])
 const assignmentSchema = z.object({
-  revision: z.number().int().positive(),
+  revision: revisionSchema,
   operation: z.string(),
   backends: z.array(z.string()),
   ranges: z.array(unitSchema).min(1),
@@ -44,14 +48,14 @@
   holders: z.array(z.tuple([z.string(), z.string(), epochSchema, z.string().nullable()]))
 })
 const fleetSchema = z.object({
-  revision: z.number().int().positive(),
+  revision: revisionSchema,
   operation: z.string(),
   routers: z.array(z.object({
     router: z.string(),
     address: addressSchema,
     adminAddress: addressSchema,
     zone: z.string(),
-    generation: z.number().int(),
+    generation: z.number().int().max(maxCount),
     successor: z.string().optional(),
     witness: z.string().optional(),
     pivot: z.string().optional()
--- a/tests/routerOddEntries.spec.ts
+++ b/tests/routerOddEntries.spec.ts
@@ -82,3 +82,11 @@
     t.is(decodeRecord('fulmar/documents/x', wrapDocument(text.replace(/^address = \S+/m, `address = ${address}`)))?.kind, 'rejected', address)
   }
 })
+
+test('an epoch or revision too large to be followed by another is rejected', t => {
+  for (const value of [2 ** 53 - 1, 2 ** 53, 1e308, 0.5]) {
+    t.is(decodeRecord('fulmar/assignments/x.y', JSON.stringify({ ...assignment, revision: value }))?.kind, 'rejected')
+    t.is(decodeRecord('fulmar/assignments/x.y', JSON.stringify({ ...assignment, ranges: [[-1, value, -1, -1]] }))?.kind, 'rejected')
+    t.is(decodeRecord('fulmar/fleet', JSON.stringify({ revision: 1, operation: 'o', routers: [{ ...entry, generation: value }] }))?.kind, 'rejected')
+  }
+})
