--- a/src/protocol/storeRecords.ts
+++ b/src/protocol/storeRecords.ts
@@ -2,6 +2,7 @@
 import type { ControllerRecord, Registration } from '../core/controller/controllerState.js'
 import * as z from 'zod'
 import { assignmentPrefix, fleetKey } from '../core/controller/reduceController.js'
+import { isConnectable } from './address.js'
 import { parseDocument } from './documentText.js'
 
 /** Prefix of every key that fulmarfront writes. */
@@ -23,18 +24,23 @@
   text: string
 }
 
+/** Highest revision, epoch or generation: those above it that follow are whole numbers as well. */
+const maxCount = 2 ** 52
+const revisionSchema = z.number().int().positive().max(maxCount)
+
 const storedDocumentSchema = z.object({
-  revision: z.number().int().positive(),
+  revision: revisionSchema,
   operation: z.string(),
   earlier: z.array(z.string()).default([]),
   author: z.string(),
   text: z.string()
 })
 
-const epochSchema = z.number().int().nonnegative()
+const addressSchema = z.string().refine(isConnectable)
+const epochSchema = z.number().int().nonnegative().max(maxCount)
 const unitSchema = z.tuple([z.number().int(), epochSchema, z.number().int(), z.number().int()])
 const assignmentSchema = z.object({
-  revision: z.number().int().positive(),
+  revision: revisionSchema,
   operation: z.string(),
   backends: z.array(z.string()),
   ranges: z.array(unitSchema).min(1),
@@ -42,14 +48,14 @@
   holders: z.array(z.tuple([z.string(), z.string(), epochSchema, z.string().nullable()]))
 })
 const fleetSchema = z.object({
-  revision: z.number().int().positive(),
+  revision: revisionSchema,
   operation: z.string(),
   routers: z.array(z.object({
     router: z.string(),
-    address: z.string(),
-    adminAddress: z.string(),
+    address: addressSchema,
+    adminAddress: addressSchema,
     zone: z.string(),
-    generation: z.number().int(),
+    generation: z.number().int().max(maxCount),
     successor: z.string().optional(),
     witness: z.string().optional(),
     pivot: z.string().optional()
@@ -57,8 +63,8 @@
 })
 const registrationSchema = z.object({
   router: z.string(),
-  address: z.string(),
-  adminAddress: z.string(),
+  address: addressSchema,
+  adminAddress: addressSchema,
   zone: z.string()
 })
 
