--- a/measure/gatewaySlopes.ts
+++ b/measure/gatewaySlopes.ts
@@ -2,6 +2,7 @@
 import { reduceGateway } from '../src/core/gateway/reduceGateway.js'
 import { buildGatewayRules } from '../src/core/gateway/rules.js'
 import { buildGatewayState } from '../src/core/gateway/state.js'
+import { measureGrantingSlopes } from './grantingSlopes.js'
 import { planInitial, planMoves } from '../src/core/gateway/planner.js'
 import { encodePlacement } from '../src/protocol/placementRecord.js'
 
@@ -10,7 +11,7 @@
 
 /** Measures what a request, a range and a round of planning cost at a gateway. */
 export function measureGatewaySlopes (): Array<Record<string, string | number>> {
-  return [200, 2000].flatMap(backends => [measureRequest(backends), measurePlacement(backends), measurePlanning(backends)])
+  return [200, 2000].flatMap(backends => [measureRequest(backends), measurePlacement(backends), measurePlanning(backends)]).concat(measureGrantingSlopes())
 }
 
 function buildCandidates (count: number) {
--- /dev/null
+++ b/measure/grantingSlopes.ts
@@ -0,0 +1,138 @@
+import type { GatewayEffect } from '../src/core/gateway/effects.js'
+import type { GatewayEvent, LoadReport } from '../src/core/gateway/events.js'
+import type { KeyRange } from '../src/core/gateway/model.js'
+import type { ShopDay } from '../spec/gateway/shopDay.js'
+import type { GatewayWorld } from '../spec/gateway/virtualWorld.js'
+import { buildFleetLoad } from '../src/core/gateway/loadExchange.js'
+import { reduceGateway } from '../src/core/gateway/reduceGateway.js'
+import { buildGatewayRules } from '../src/core/gateway/rules.js'
+import { buildGatewayState } from '../src/core/gateway/state.js'
+import { encodeChange, encodeView } from '../src/protocol/fleetUpdate.js'
+import { FleetUpdate } from '../src/protocol/gen/peer.js'
+import { leadMs, playShopDay } from '../spec/gateway/shopDay.js'
+
+/** A fleet as its granting host sees it. */
+type Fleet = { hosts: number, owners: number, rangesEach: number }
+type Row = Record<string, string | number>
+
+const rules = buildGatewayRules()
+/** Requests that one host reports of at each owner, and keys of one report. */
+const reportedKeys = 30
+/** Times that each step is measured. */
+const rounds = 100
+const fleets: Fleet[] = [
+  ...[12, 75, 300].map(hosts => ({ hosts, owners: 200, rangesEach: 1 })),
+  ...[60, 600].map(owners => ({ hosts: 75, owners, rangesEach: 1 })),
+  { hosts: 75, owners: 200, rangesEach: 6 }
+]
+
+/** Measures what a granting host spends on reports, ticks, moves and planning, and what it sends. */
+export function measureGrantingSlopes (): Row[] {
+  // The first fleet is measured before the compiler has optimized the code; its figures are dropped.
+  for (const fleet of fleets.slice(0, 1)) measureSteps(fleet)
+  return [...fleets.map(measureSteps), ...[{ moves: 0 }, { moves: 1 }].flatMap(({ moves }) => [12, 40].map(hosts => measureMessages(hosts, 60, moves)))]
+}
+
+function buildRanges (fleet: Fleet): KeyRange[] {
+  const count = fleet.owners * fleet.rangesEach
+  const bound = (index: number) => Math.floor(index * 65_536 / count)
+  return Array.from({ length: count }, (_, index) => ({ from: bound(index), to: bound(index + 1) - 1, owner: buildHolder(index % fleet.owners), fence: index + 1, phase: 'held', previous: undefined }))
+}
+
+function buildHolder (index: number) {
+  return { id: `i-${index}`, startedAt: 1000 + index, address: `10.1.${index >> 8}.${index & 255}:80` }
+}
+
+function buildReport (host: number, fleet: Fleet): LoadReport {
+  const backends = Array.from({ length: Math.min(40, fleet.owners) }, (_, index) => ({ id: `i-${(index * 7 + host) % fleet.owners}`, inFlight: 1 + index % 2, answered: 2, serviceMsSum: 150 }))
+  const keys = Array.from({ length: reportedKeys }, (_, index) => (host * 977 + index * 2183) % 65_536)
+  return { host: `h-${host}`, backends, keys: [{ service: 's', keys, counts: keys.map(() => 1) }], placement: { revision: 9, confirmations: 0 }, wantsPlacement: false, storeRevision: 9, granting: undefined }
+}
+
+/** Starts a host that grants the keys of a fleet, with all grants confirmed at the time `start`. */
+function createGrantingHost (fleet: Fleet, start: number) {
+  let state = buildGatewayState({ host: 'h', zone: 'z', region: 'r', regionOf: new Map(), address: 'h', processorShare: 1 }, 1, 0)
+  const post = (event: GatewayEvent): GatewayEffect[] => {
+    const step = reduceGateway(state, event, rules)
+    state = step.state
+    return step.effects
+  }
+  const limits = { maxHeaderBytes: 1e4, maxBodyBytes: 1e6, headerTimeoutMs: 1e3, idleTimeoutMs: 1e4 }
+  post({ kind: 'configuration-read', now: 0, configuration: { version: 1, routes: [], services: new Map([['s', { name: 's', sharded: true, warmupMs: 0 }]]), limits }, revision: 1 })
+  for (let index = 0; index < fleet.owners; index++) post({ kind: 'backend-read', now: 0, backend: { ...buildHolder(index), service: 's', zone: 'z', slots: 4, leaving: false, slowForMs: 0 } })
+  const ranges = buildRanges(fleet)
+  post({ kind: 'placement-read', now: 0, placement: { nextFence: ranges.length + 1, services: new Map([['s', ranges]]), memory: { hosts: fleet.hosts, serviceMs: new Map() } }, revision: 9 })
+  Object.assign(state, { storeSynced: true, storeUp: true, wall: start, now: start, syncStartedAt: start })
+  Object.assign(state.granting, { role: 'leading', ledSince: -start, confirmedAt: start, renewAt: Infinity })
+  post({ kind: 'tick', now: start, wall: start })
+  for (const grant of state.granting.grants) Object.assign(grant, { step: 'keep', confirmedAt: start, nextAt: Infinity })
+  return { post, getState: () => state }
+}
+
+/** Measures the median time of a step, in microseconds. */
+function measureMedianUs (step: (round: number) => void, prepare = () => {}): number {
+  const times = Array.from({ length: rounds }, (_, round) => {
+    prepare()
+    const startedAt = performance.now()
+    step(round)
+    return (performance.now() - startedAt) * 1000
+  })
+  return Math.round(times.sort((a, b) => a - b)[rounds >> 1] ?? 0)
+}
+
+function measureSteps (fleet: Fleet): Row {
+  const start = 10_000
+  const host = createGrantingHost(fleet, start)
+  for (let index = 0; index < fleet.hosts; index++) host.post({ kind: 'load-reported', now: start, report: buildReport(index, fleet) })
+  const views = new Map()
+  const reportUs = measureMedianUs(round => {
+    host.post({ kind: 'load-reported', now: start + round, report: buildReport(round % fleet.hosts, fleet) })
+    const view = encodeView(buildFleetLoad(host.getState(), `h-${round % fleet.hosts}`), views)
+    FleetUpdate.encode({ update: { $case: 'load', load: view } }).finish()
+  })
+  const { granting } = host.getState()
+  const { grants } = granting
+  let now = start + 100
+  const prepareTick = (planAt: number) => {
+    now += 1
+    Object.assign(granting, { grants: structuredClone(grants), confirmedAt: now, balanceAt: planAt, admitAt: planAt, dirty: false, writing: undefined })
+  }
+  const tick = () => { host.post({ kind: 'tick', now, wall: now }) }
+  const tickUs = measureMedianUs(tick, () => prepareTick(Infinity))
+  const planUs = measureMedianUs(tick, () => prepareTick(-Infinity))
+  prepareTick(Infinity)
+  const confirmUs = measureMedianUs(round => {
+    const grant = granting.grants[round % granting.grants.length]
+    if (grant === undefined) return
+    grant.step = 'grant'
+    const { service, range: { from, to, fence } } = grant
+    const effects = host.post({ kind: 'grant-ended', now, sentAt: now, service, from, to, fence, outcome: { kind: 'granted' } })
+    for (const effect of effects) {
+      if (effect.kind !== 'publish-placement') continue
+      const placement = encodeChange(effect.change)
+      for (let to = 1; to < fleet.hosts; to++) FleetUpdate.encode({ update: { $case: 'placement', placement } }).finish()
+    }
+  })
+  return { slope: 'granting host, us', ...fleet, report: reportUs, idleTick: tickUs, confirmedMove: confirmUs, planning: planUs, ranges: grants.length }
+}
+
+/** Counts what a granting host sends in a second, calm or while a third of the owners is lost and comes back. */
+function measureMessages (hosts: number, owners: number, losses: number): Row {
+  const counts = new Map<string, number>()
+  const watch = (world: GatewayWorld) => {
+    const { interpret } = world
+    world.interpret = (inWorld, host, effect) => {
+      if (inWorld.queue.now < leadMs + 8000) counts.set(effect.kind, (counts.get(effect.kind) ?? 0) + 1)
+      interpret(inWorld, host, effect)
+    }
+  }
+  const lose = (world: GatewayWorld) => {
+    for (const backend of world.backends.values()) {
+      if (losses > 0 && Number(backend.registration.id.split('-')[1]) % 3 === 0) backend.state = 'silent'
+    }
+  }
+  const day: ShopDay = { seed: 1, hosts, shards: owners, plain: 0, lengthMs: 8000, readsPerSecond: 1000, ordersPerSecond: 0, workMs: 75, targetMs: 250, timeoutMs: 1000, rules, faults: [{ at: 3000, run: watch }, { at: 3000, run: lose }] }
+  const { moves } = playShopDay(day)
+  const perSecond = (kind: GatewayEffect['kind']) => Math.round((counts.get(kind) ?? 0) / 5)
+  return { slope: 'messages a second in the emulator', hosts, owners, lostOwners: losses * Math.ceil(owners / 3), moves, grants: perSecond('grant'), releases: perSecond('release'), changesToHosts: perSecond('publish-placement') * (hosts - 1), reports: perSecond('report-load') }
+}
