Granting host: tell changes of owners together, at most 1,500 messages a second

What callers saw: with 75 hosts and some 218 owners the granting host was saturated when owners changed in numbers; grants and answers to reports came late. Cause: each confirmation and each written placement was one message to every host (up to 264 a second times 74 hosts seen), and each confirmation copied and sorted all ranges.

The reducer keeps the version that it last published and publishes the difference to its present one: the first change after a quiet time at once, others together after computePublishMs(hosts), 20 ms up to 30 hosts, 50 ms with 75. Confirmations change a copy of the placement that is made once for each publication. Views of the load name the published version, and a host that missed a change gets the published placement, since the next change builds on it. A host that has heard the next version already, from the store, ignores the change instead of asking for the whole placement: in the emulator hosts asked so on the code before ("no host asks for the whole placement because ..." failed). The host that loses leadership publishes what is left first, so that the next one numbers its confirmations after all of them.

--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -43,7 +43,7 @@
   hosts: number
   /** Time since the store last confirmed that the sender grants keys, in milliseconds. */
   confirmedAgeMs: number
-  /** Placement that the sender routes by; all changes up to it went before. */
+  /** Newest placement that the sender has told; all changes up to it went before. */
   placement: PlacementVersion
   /** Revision of the store up to which the sender has passed on all changes. */
   storeRevision: number
--- a/src/core/gateway/following.ts
+++ b/src/core/gateway/following.ts
@@ -40,7 +40,11 @@
 /** Takes a change of owners from the granting host; one that doesn't fit is followed by the whole placement. */
 export function handlePlacementChange (work: GatewayWork, change: PlacementChange, rules: GatewayRules): void {
   const { state } = work
-  if (change.base !== undefined && !isSameVersion(change.base, state.placementVersion)) return askForPlacement(state)
+  if (change.base !== undefined && !isSameVersion(change.base, state.placementVersion)) {
+    // A host that watches the store may know the newer placement already.
+    if (isLaterVersion(change.next, state.placementVersion)) askForPlacement(state)
+    return
+  }
   state.wantsPlacement = false
   setPlacement(work, applyPlacementChange(state.placement, change), change.next)
   advanceWaiting(work, rules)
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -4,6 +4,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { ampleProcessorShare, askAgainMs, claimSpreadMs, leadershipRenewalMs, leadershipTtlMs, pauseMs, smallHostDelayMs, unconfirmedLimitMs } from './limits.js'
 import { sendFarewell } from './loadExchange.js'
+import { sendPlacementChange } from './publishing.js'
 import { buildGranting } from './state.js'
 
 /** Time after which a claim without an answer is given up, in milliseconds: beyond the store's own delays. */
@@ -97,6 +98,8 @@
     renewAt: event.now,
     ledSince: event.now,
     expectedHosts: state.hosts,
+    // The others know what this host knows, or ask for it.
+    published: state.placement === undefined ? undefined : { placement: state.placement, version: state.placementVersion },
     unsettled,
     mayBePreceded,
     predecessorUntil: mayBePreceded ? event.now + unconfirmedLimitMs : event.now
@@ -165,6 +168,8 @@
 export function endLeadership (work: GatewayWork, reason: string): void {
   const { state } = work
   if (state.granting.role !== 'leading') return
+  // The next granting host numbers its confirmations from what it was told.
+  sendPlacementChange(work)
   state.granting = buildGranting(state.now)
   work.effects.push({ kind: 'log', event: 'leadershipLost', fields: { reason } })
 }
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -103,6 +103,12 @@
 export const maxToldAgeMs = 1500
 /** Age of the granting host's last word from the store from which it is not relied on, in milliseconds: two renewals missed. */
 export const maxConfirmedAgeMs = 1000
+/** Messages a second that the granting host sends at most to tell all others of changes of owners: some percent of a core. */
+export const changeMessagesPerSecond = 1500
+/** Shortest time between two changes of owners that are told, in milliseconds. */
+export const publishMs = 20
+/** Longest time between two of them, in milliseconds. */
+export const maxPublishMs = 1000
 /** Time for which a host's report counts, in milliseconds. */
 export const keptReportMs = 3000
 /** Most different keys in one report; the rest is summed into buckets. */
@@ -137,3 +143,8 @@
 export function computeReportMs (hosts: number): number {
   return Math.min(maxReportMs, Math.max(reportMs, hosts * reportMsPerHost))
 }
+
+/** Computes the time between two changes of owners that all hosts are told, in milliseconds: longer in larger fleets. */
+export function computePublishMs (hosts: number): number {
+  return Math.min(maxPublishMs, Math.max(publishMs, hosts * 1000 / changeMessagesPerSecond))
+}
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -115,10 +115,10 @@
 
 /** Sends the whole placement to a host that missed a change of it. */
 function sendMissedPlacement (work: GatewayWork, report: LoadReport): void {
-  const { state } = work
-  const { placement, placementVersion } = state
-  if (placement === undefined || !report.wantsPlacement || !isLaterVersion(placementVersion, report.placement)) return
-  work.effects.push({ kind: 'publish-placement', change: buildPlacementChange(undefined, { placement, version: placementVersion }), host: report.host })
+  const { published } = work.state.granting
+  if (published === undefined || !report.wantsPlacement || !isLaterVersion(published.version, report.placement)) return
+  // A newer one would not be the base of the next change that is told to all.
+  work.effects.push({ kind: 'publish-placement', change: buildPlacementChange(undefined, published), host: report.host })
 }
 
 function addCount (rates: Map<number, DecayingSum>, key: number, count: number, now: number): void {
@@ -160,7 +160,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: state.placementVersion, storeRevision: state.storeRevision }
+  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: granting.published?.version ?? state.placementVersion, storeRevision: state.storeRevision }
 }
 
 /** Builds what hosts that start later should know. */
--- a/src/core/gateway/placementChange.ts
+++ b/src/core/gateway/placementChange.ts
@@ -1,4 +1,5 @@
 import type { KeyRange, Placement, PlacementChange, PlacementVersion } from './model.js'
+import { findRange } from './routing.js'
 
 /** A placement with its version. */
 export type VersionedPlacement = { placement: Placement, version: PlacementVersion }
@@ -30,13 +31,24 @@
     ranges.push(range)
     changed.set(service, ranges)
   }
-  for (const [service, ranges] of changed) {
-    const kept = (services.get(service) ?? []).filter(range => !ranges.some(other => other.from <= range.to && other.to >= range.from))
-    services.set(service, [...kept, ...ranges].sort((a, b) => a.from - b.from))
-  }
+  for (const [service, ranges] of changed) services.set(service, listMerged(services.get(service) ?? [], ranges))
   return { nextFence: change.nextFence, services, memory: base?.memory ?? { hosts: 1, serviceMs: new Map() } }
 }
 
+/** Lists ranges with others in place of what those cover, sorted. */
+function listMerged (ranges: readonly KeyRange[], changed: readonly KeyRange[]): KeyRange[] {
+  const kept = ranges.filter(range => !changed.some(other => other.from <= range.to && other.to >= range.from))
+  return [...kept, ...changed].sort((a, b) => a.from - b.from)
+}
+
+/** Puts a range in place of what it covers, in the placement itself. */
+export function replaceRange (placement: Placement, service: string, range: KeyRange): void {
+  const ranges = placement.services.get(service) ?? []
+  const known = findRange(ranges, range.from)
+  if (known?.from === range.from && known.to === range.to) ranges[ranges.indexOf(known)] = range
+  else placement.services.set(service, listMerged(ranges, [range]))
+}
+
 /** Whether one version of a placement comes after another. */
 export function isLaterVersion (version: PlacementVersion, than: PlacementVersion): boolean {
   if (version.revision !== than.revision) return version.revision > than.revision
--- a/src/core/gateway/placementWriting.ts
+++ b/src/core/gateway/placementWriting.ts
@@ -1,9 +1,10 @@
 import type { GatewayEvent } from './events.js'
-import type { KeyRange, Placement, PlacementChange, PlacementVersion } from './model.js'
+import type { KeyRange, Placement, PlacementVersion } from './model.js'
 import type { GatewayWork, KeptGrant } from './state.js'
 import { writeAgainMs } from './limits.js'
 import { applyFleetMemory, buildFleetMemory } from './loadExchange.js'
-import { applyPlacementChange, buildPlacementChange, isLaterVersion } from './placementChange.js'
+import { isLaterVersion, replaceRange } from './placementChange.js'
+import { advancePublishing } from './publishing.js'
 
 /** Time after which a placement that could not be written is written again, in milliseconds. */
 const writeRetryMs = 200
@@ -52,9 +53,8 @@
   if (written === undefined || event.write !== state.writesBegun) return
   if (event.outcome === 'written') {
     granting.writing = undefined
-    const next = { placement: written, version: { revision: event.revision, confirmations: 0 } }
-    sendPlacementChange(work, buildPlacementChange(state.placement === undefined ? undefined : { placement: state.placement, version: state.placementVersion }, next))
-    setPlacement(work, written, next.version)
+    setPlacement(work, written, { revision: event.revision, confirmations: 0 })
+    advancePublishing(work)
     return
   }
   work.effects.push({ kind: 'log', event: 'placementConflict', fields: { outcome: event.outcome, revision: state.placementVersion.revision } })
@@ -80,19 +80,23 @@
   work.effects.push({ kind: 'log', event: 'placementInForce', fields: { ...version, nextFence: placement.nextFence } })
 }
 
-function sendPlacementChange (work: GatewayWork, change: PlacementChange): void {
-  work.effects.push({ kind: 'publish-placement', change, host: undefined })
-}
-
 /** Tells all hosts that an owner confirmed its keys: they need not wait for the store, which may be away. */
 export function sendConfirmation (work: GatewayWork, grant: KeptGrant): void {
   const { state } = work
-  const base = state.placementVersion
+  const { revision, confirmations } = state.placementVersion
   if (state.placement === undefined || !isWritten(work, grant.range)) return
-  const next = { revision: base.revision, confirmations: base.confirmations + 1 }
-  const change: PlacementChange = { base, next, nextFence: state.placement.nextFence, changes: [{ service: grant.service, range: { ...grant.range } }] }
-  sendPlacementChange(work, change)
-  setPlacement(work, applyPlacementChange(state.placement, change), next)
+  const placement = takeOwnCopy(work, state.placement)
+  replaceRange(placement, grant.service, { ...grant.range })
+  setPlacement(work, placement, { revision, confirmations: confirmations + 1 })
+  advancePublishing(work)
+}
+
+/** Copies the placement in force before it is changed, once for all confirmations that are told together. */
+function takeOwnCopy (work: GatewayWork, placement: Placement): Placement {
+  const { granting } = work.state
+  if (granting.ownCopy === placement) return placement
+  granting.ownCopy = { ...placement, services: new Map([...placement.services].map(([service, ranges]) => [service, [...ranges]])) }
+  return granting.ownCopy
 }
 
 /** Whether the store holds a range: only then is it granted. */
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -13,6 +13,7 @@
 import { dropRequest, endOverdue, handleAnswer, handleAnswerStart, handleCutAnswer, handleNotRun, handleSendFailure, handleStrayBytes } from './answers.js'
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
 import { acceptRequest, advanceWaiting, dropOldFences } from './placing.js'
+import { advancePublishing } from './publishing.js'
 import { buildRouteIndex } from './routing.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
@@ -77,6 +78,7 @@
   endOverdue(work, rules)
   advanceWaiting(work, rules)
   advanceLeadership(work)
+  advancePublishing(work)
   advanceGranting(work, rules)
   advanceReport(work)
   advanceFollowing(work)
@@ -102,6 +104,7 @@
 
 function applyPlacement (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'placement-read' }>, rules: GatewayRules): void {
   setPlacement(work, event.placement, { revision: event.revision, confirmations: 0 })
+  advancePublishing(work)
   advanceWaiting(work, rules)
 }
 
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -1,6 +1,7 @@
 import type { GatewayEffect } from './effects.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, KeyRange, Placement, PlacementVersion } from './model.js'
 import type { GatewayStop } from './stop.js'
+import type { VersionedPlacement } from './placementChange.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { buildStop } from './stop.js'
@@ -120,6 +121,11 @@
   dirty: boolean
   /** From when a changed placement is to be written. */
   writeAt: number
+  /** What the other hosts were last told of the placement, and when they may be told again. */
+  published: VersionedPlacement | undefined
+  publishAt: number
+  /** Placement in force when it was copied since they were told: nobody else holds it, and it is changed in place. */
+  ownCopy: Placement | undefined
   balanceAt: number
   tidyAt: number
   mildAt: number
@@ -272,6 +278,9 @@
     writeAgainAt: 0,
     dirty: false,
     writeAt: now,
+    published: undefined,
+    publishAt: now,
+    ownCopy: undefined,
     balanceAt: now,
     tidyAt: now,
     mildAt: now,
