Views of the load: totals kept up to date instead of sums over all hosts

What callers saw: the granting host of 75 hosts was saturated; buildFleetLoad took 139 ms of 1,700 ms busy time in a profile. Cause: each report was answered by summing the reports of all hosts, hosts squared, and reading the view dropped old reports from the state.

The granting host keeps the sum of the last reports; a report replaces what the same host reported before, a tick takes out reports older than 3 s, and a view is the sum without the host's own part. Property tests hold the totals against the reports through silences and restarts; a view changes nothing.

--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -3,9 +3,10 @@
 import type { PlannerInput, Candidate } from './planner.js'
 import type { Backend, DecayingSum, GatewayState, GatewayWork, KeptGrant } from './state.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
+import { addReport, countInFlight } from './loadTotals.js'
 import { findRange } from './routing.js'
 import {
-  assumedServiceMs, computeReportMs, earlyGrowth, earlyReportMs, firstCountMs, hotKeyStayMs, keptReportMs, leastCounted, maxReportMs, maxReportedKeys, mildLoad, rateMemoryMs, reportMs,
+  assumedServiceMs, computeReportMs, earlyGrowth, earlyReportMs, firstCountMs, hotKeyStayMs, leastCounted, maxReportMs, maxReportedKeys, mildLoad, rateMemoryMs, reportMs,
   reportMsPerHost, suddenCount, suddenMemoryMs, urgentLoad
 } from './limits.js'
 
@@ -98,7 +99,7 @@
   const { granting, now } = work.state
   if (granting.role !== 'leading') return
   sendMissedPlacement(work, report)
-  granting.reports.set(report.host, { at: now, inFlight: listInFlight(report) })
+  addReport(work.state, report.host, listInFlight(report))
   for (const backend of report.backends) {
     if (backend.answered === 0) continue
     const known = granting.service.get(backend.id) ?? { sum: 0, count: 0, at: now }
@@ -139,22 +140,12 @@
  */
 export function buildFleetLoad (state: GatewayState, host: string): FleetLoad {
   const { granting } = state
-  const inFlight = new Map<string, number>()
-  let hosts = 0
-  for (const [name, report] of granting.reports) {
-    if (state.now - report.at > keptReportMs) {
-      granting.reports.delete(name)
-      continue
-    }
-    hosts += 1
-    if (name === host) continue
-    for (const [id, count] of report.inFlight) inFlight.set(id, (inFlight.get(id) ?? 0) + count)
-  }
+  const hosts = granting.reports.size
   const expected = state.now - granting.ledSince < allReportedMs ? Math.max(hosts, granting.expectedHosts) : hosts
   const missingHosts = expected - hosts
   const backends: FleetLoad['backends'] = []
   for (const [id, backend] of state.backends) {
-    const heard = inFlight.get(id) ?? 0
+    const heard = countInFlight(granting, id, host)
     const ofEach = Math.max((backend.inFlight + backend.othersInFlight) / expected, heard / Math.max(1, hosts))
     const others = heard + Math.round(ofEach * missingHosts)
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
@@ -230,18 +221,11 @@
     const share = backend.slots * 1000 / serviceMs * admittedLoad / rate
     if (share >= 1) continue
     // Free slots show that the figures behind the share are too low: it grows with them.
-    const free = Math.max(0, 1 - countInFlight(work.state, id) / backend.slots)
+    const free = Math.max(0, 1 - countInFlight(granting, id) / backend.slots)
     granting.admitShares.set(id, Math.max(leastAdmitShare, share + (1 - share) * free))
   }
 }
 
-/** Counts the requests in flight at a backend server by the hosts' last reports. */
-function countInFlight (state: GatewayState, id: string): number {
-  let count = 0
-  for (const report of state.granting.reports.values()) count += report.inFlight.get(id) ?? 0
-  return count
-}
-
 /** Lists the backend servers of a service that may own keys. */
 export function listCandidates (work: GatewayWork, service: string): Candidate[] {
   const { state } = work
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -9,6 +9,7 @@
 import { advanceLeadership, applyClaim, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
 import { quietTickMs, shortestLapseMs } from './limits.js'
 import { advanceReport, applyReport } from './loadExchange.js'
+import { dropOldReports } from './loadTotals.js'
 import { advanceFollowing, handleExchangeEnd, handleFleetLoad, handlePlacementChange } from './following.js'
 import { dropRequest, endOverdue, handleAnswer, handleAnswerStart, handleCutAnswer, handleNotRun, handleSendFailure, handleStrayBytes } from './answers.js'
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
@@ -79,6 +80,7 @@
   advanceWaiting(work, rules)
   advanceLeadership(work)
   advancePublishing(work)
+  dropOldReports(work.state)
   advanceGranting(work, rules)
   advanceReport(work)
   advanceFollowing(work)
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -139,7 +139,10 @@
   /** Share of their requests that overloaded owners can take. */
   admitShares: Map<string, number>
   admitAt: number
+  /** Last report of each host, the oldest first. */
   reports: Map<string, { at: number, inFlight: Map<string, number> }>
+  /** Requests in flight at each backend server, summed over the reports. */
+  inFlight: Map<string, number>
 }
 
 /** Whole state of a gateway. */
@@ -291,7 +294,8 @@
     service: new Map(),
     admitShares: new Map(),
     admitAt: now,
-    reports: new Map()
+    reports: new Map(),
+    inFlight: new Map()
   }
 }
 
