Relay: list and encode once for hosts at one revision, and space relays

What callers saw: with 75 hosts the granting host was saturated, so that grants and answers to reports came late. Cause, in part: for each of 74 hosts a relay filtered and sorted all entries of the store and encoded the result anew, nine times a second; changes of owners were encoded for each stream too.

Hosts that know the same revision share one list and one encoding, and so do changes of owners: the service's serializer takes the bytes of an update that is shared. The reducer spaces relays by computeRelayMs(hosts), as published changes but 400 ms at most, the first after a quiet time at once; what comes within the spacing goes out in the tick after it. Views name the revision that was relayed, so that no host takes itself for one left behind meanwhile.

--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -100,6 +100,8 @@
     expectedHosts: state.hosts,
     // The others know what this host knows, or ask for it.
     published: state.placement === undefined ? undefined : { placement: state.placement, version: state.placementVersion },
+    // A stream begins with all that its host does not know.
+    relayedRevision: state.storeRevision,
     unsettled,
     mayBePreceded,
     predecessorUntil: mayBePreceded ? event.now + unconfirmedLimitMs : event.now
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -109,6 +109,8 @@
 export const publishMs = 20
 /** Longest time between two of them, in milliseconds. */
 export const maxPublishMs = 1000
+/** Longest time between two relays of the store's changes, in milliseconds: a backend server that leaves is known within 1 s. */
+export const maxRelayMs = 400
 /** Time for which a host's report counts, in milliseconds. */
 export const keptReportMs = 3000
 /** Most different keys in one report; the rest is summed into buckets. */
@@ -148,3 +150,8 @@
 export function computePublishMs (hosts: number): number {
   return Math.min(maxPublishMs, Math.max(publishMs, hosts * 1000 / changeMessagesPerSecond))
 }
+
+/** Computes the time between two relays of the store's changes to all hosts, in milliseconds. */
+export function computeRelayMs (hosts: number): number {
+  return Math.min(maxRelayMs, computePublishMs(hosts))
+}
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -151,7 +151,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: granting.published?.version ?? state.placementVersion, storeRevision: state.storeRevision }
+  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision }
 }
 
 /** Builds what hosts that start later should know. */
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -15,6 +15,7 @@
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
 import { acceptRequest, advanceWaiting, dropOldFences } from './placing.js'
 import { advancePublishing } from './publishing.js'
+import { advanceRelay } from './relaying.js'
 import { buildRouteIndex } from './routing.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
@@ -80,6 +81,7 @@
   advanceWaiting(work, rules)
   advanceLeadership(work)
   advancePublishing(work)
+  advanceRelay(work)
   dropOldReports(work.state)
   advanceGranting(work, rules)
   advanceReport(work)
@@ -150,7 +152,7 @@
   const { state } = work
   if (revision <= state.storeRevision) return
   state.storeRevision = revision
-  if (state.granting.role === 'leading') work.effects.push({ kind: 'relay-changes' })
+  advanceRelay(work)
 }
 
 function applyStoreLoss (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'store-lost' }>): void {
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -126,6 +126,9 @@
   publishAt: number
   /** Placement in force when it was copied since they were told: nobody else holds it, and it is changed in place. */
   ownCopy: Placement | undefined
+  /** Revision of the store up to which the other hosts were told, and when they may be told again. */
+  relayedRevision: number
+  relayAt: number
   balanceAt: number
   tidyAt: number
   mildAt: number
@@ -284,6 +287,8 @@
     published: undefined,
     publishAt: now,
     ownCopy: undefined,
+    relayedRevision: 0,
+    relayAt: now,
     balanceAt: now,
     tidyAt: now,
     mildAt: now,
--- a/src/runtime/gateway/fleetExchange.ts
+++ b/src/runtime/gateway/fleetExchange.ts
@@ -11,10 +11,11 @@
 import { Server } from '@grpc/grpc-js'
 import { listInFlight } from '../../core/gateway/loadExchange.js'
 import { dropLargeValues } from '../../core/gateway/storeView.js'
-import { FleetExchangeClient, FleetExchangeService } from '../../protocol/gen/peer.js'
+import { FleetExchangeClient } from '../../protocol/gen/peer.js'
 import { decodeChange, decodeReport, decodeStoreChanges, decodeView, encodeChange, encodeReport, encodeStoreChanges, encodeView } from '../../protocol/fleetUpdate.js'
 import { listenGrpc } from '../listen.js'
 import { runtimeEventNumbers } from '../log.js'
+import { createSharedUpdates } from './sharedUpdates.js'
 
 /** Longest wait for the answer to a report, in milliseconds; after it the connection counts as silent and is replaced. */
 const reportTimeoutMs = 800
@@ -53,6 +54,8 @@
 type HostStream = ServerDuplexStream<WireReport, FleetUpdate>
 /** Stream of one reporting host, and how far the store's changes were passed on. */
 type HostLink = { stream: HostStream, host: string, behindLoggedAt: number, relayedTo: number | undefined, relayedAt: number, views: ViewMemory }
+/** Changes of the store for the hosts that know it up to one revision; without a message when there are none. */
+type Relay = { changes: RelayedChanges, message: FleetUpdate | undefined }
 type Link = { address: string, client: FleetExchangeClient, stream: ClientDuplexStream<WireReport, FleetUpdate>, unanswered: Array<{ sentAt: number, inFlight: Map<string, number> }>, views: ViewMemory }
 
 /** Creates both ends of the exchange. */
@@ -136,22 +139,25 @@
 function createHostStreams (parts: FleetExchangeParts): { server: Server, publish: FleetExchange['publish'], relay: FleetExchange['relay'] } {
   const server = new Server()
   const streams = new Map<string, HostLink>()
-  const send = (link: HostLink, update: FleetUpdate['update']) => { link.stream.write({ update }) }
+  const updates = createSharedUpdates()
   const noteHostBehind = (link: HostLink, relayed: RelayedChanges) => {
     const now = parts.timers.clock.now()
     if (now - link.behindLoggedAt < failureLogMs) return
     link.behindLoggedAt = now
     parts.log(runtimeEventNumbers.hostBehind, 'hostBehind', { host: link.host, from: relayed.from, to: relayed.to, changes: relayed.changes.length, keys: relayed.present?.length })
   }
-  /** Passes on what changed since a revision. */
-  const relaySince = (link: HostLink, revision: number) => {
+  const buildRelay = (revision: number): Relay | undefined => {
     const since = parts.listChangesSince(revision)
-    if (since === undefined) return
+    if (since === undefined) return undefined
     const changes = dropLargeValues(since, streams.size)
-    if (changes.present !== undefined) noteHostBehind(link, changes)
-    link.relayedTo = changes.to
+    return { changes, message: changes.to > revision ? updates.share({ $case: 'changes', changes: encodeStoreChanges(changes) }) : undefined }
+  }
+  const sendRelay = (link: HostLink, relay: Relay | undefined) => {
+    if (relay === undefined) return
+    if (relay.changes.present !== undefined) noteHostBehind(link, relay.changes)
+    link.relayedTo = relay.changes.to
     link.relayedAt = parts.timers.clock.now()
-    if (changes.to > revision) send(link, { $case: 'changes', changes: encodeStoreChanges(changes) })
+    if (relay.message !== undefined) link.stream.write(relay.message)
   }
   const takeReport = (link: HostLink, message: WireReport) => {
     const report = decodeReport(message)
@@ -164,8 +170,8 @@
     link.host = report.host
     parts.post({ kind: 'load-reported', now: parts.timers.clock.now(), report })
     const isBehind = report.storeRevision < view.storeRevision && parts.timers.clock.now() - link.relayedAt > relayDelayMs
-    if (link.relayedTo === undefined || isBehind) relaySince(link, report.storeRevision)
-    send(link, { $case: 'load', load: encodeView(view, link.views) })
+    if (link.relayedTo === undefined || isBehind) sendRelay(link, buildRelay(report.storeRevision))
+    link.stream.write({ update: { $case: 'load', load: encodeView(view, link.views) } })
   }
   const implementation = {
     follow: (stream: HostStream) => {
@@ -187,18 +193,23 @@
       })
     }
   }
-  server.addService(FleetExchangeService, implementation as unknown as UntypedServiceImplementation)
+  server.addService(updates.service, implementation as unknown as UntypedServiceImplementation)
   return {
     server,
     publish: (change, host) => {
-      const placement = encodeChange(change)
-      for (const [name, link] of streams) {
-        if (host === undefined || host === name) send(link, { $case: 'placement', placement })
-      }
+      const links = host === undefined ? [...streams.values()] : [streams.get(host)].filter(link => link !== undefined)
+      if (links.length === 0) return
+      const message = updates.share({ $case: 'placement', placement: encodeChange(change) })
+      for (const link of links) link.stream.write(message)
     },
     relay: () => {
+      // Most hosts know the same revision: what they are told is listed and encoded once.
+      const relays = new Map<number, Relay | undefined>()
       for (const link of streams.values()) {
-        if (link.relayedTo !== undefined) relaySince(link, link.relayedTo)
+        const from = link.relayedTo
+        if (from === undefined) continue
+        if (!relays.has(from)) relays.set(from, buildRelay(from))
+        sendRelay(link, relays.get(from))
       }
     }
   }
