--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -5,9 +5,10 @@
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
 import { listRenewals } from './renewers.js'
 import { listRenewed } from './renewing.js'
+import { addReport, countInFlight } from './loadTotals.js'
 import { findRange } from './routing.js'
 import {
-  assumedServiceMs, computeReportMs, earlyGrowth, earlyReportMs, firstCountMs, hotKeyStayMs, keptReportMs, leastCounted, maxReportMs, maxReportedKeys, mildLoad, rateMemoryMs, reportMs,
+  assumedServiceMs, computeReportMs, earlyGrowth, earlyReportMs, firstCountMs, hotKeyStayMs, leastCounted, maxReportMs, maxReportedKeys, mildLoad, rateMemoryMs, reportMs,
   reportMsPerHost, suddenCount, suddenMemoryMs, urgentLoad
 } from './limits.js'
 
@@ -100,7 +101,7 @@
   const { granting, now } = work.state
   if (granting.role !== 'leading') return
   sendMissedPlacement(work, report)
-  granting.reports.set(report.host, { at: now, inFlight: listInFlight(report) })
+  addReport(work.state, report.host, listInFlight(report))
   for (const backend of report.backends) {
     if (backend.answered === 0) continue
     const known = granting.service.get(backend.id) ?? { sum: 0, count: 0, at: now }
@@ -117,10 +118,10 @@
 
 /** Sends the whole placement to a host that missed a change of it. */
 function sendMissedPlacement (work: GatewayWork, report: LoadReport): void {
-  const { state } = work
-  const { placement, placementVersion } = state
-  if (placement === undefined || !report.wantsPlacement || !isLaterVersion(placementVersion, report.placement)) return
-  work.effects.push({ kind: 'publish-placement', change: buildPlacementChange(undefined, { placement, version: placementVersion }), host: report.host })
+  const { published } = work.state.granting
+  if (published === undefined || !report.wantsPlacement || !isLaterVersion(published.version, report.placement)) return
+  // A newer one would not be the base of the next change that is told to all.
+  work.effects.push({ kind: 'publish-placement', change: buildPlacementChange(undefined, published), host: report.host })
 }
 
 function addCount (rates: Map<number, DecayingSum>, key: number, count: number, now: number): void {
@@ -141,28 +142,18 @@
  */
 export function buildFleetLoad (state: GatewayState, host: string): FleetLoad {
   const { granting } = state
-  const inFlight = new Map<string, number>()
-  let hosts = 0
-  for (const [name, report] of granting.reports) {
-    if (state.now - report.at > keptReportMs) {
-      granting.reports.delete(name)
-      continue
-    }
-    hosts += 1
-    if (name === host) continue
-    for (const [id, count] of report.inFlight) inFlight.set(id, (inFlight.get(id) ?? 0) + count)
-  }
+  const hosts = granting.reports.size
   const expected = state.now - granting.ledSince < allReportedMs ? Math.max(hosts, granting.expectedHosts) : hosts
   const missingHosts = expected - hosts
   const backends: FleetLoad['backends'] = []
   for (const [id, backend] of state.backends) {
-    const heard = inFlight.get(id) ?? 0
+    const heard = countInFlight(granting, id, host)
     const ofEach = Math.max((backend.inFlight + backend.othersInFlight) / expected, heard / Math.max(1, hosts))
     const others = heard + Math.round(ofEach * missingHosts)
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: state.placementVersion, storeRevision: state.storeRevision, renewals: listRenewals(state, host) }
+  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, renewals: listRenewals(state, host) }
 }
 
 /** Builds what hosts that start later should know. */
@@ -232,18 +223,11 @@
     const share = backend.slots * 1000 / serviceMs * admittedLoad / rate
     if (share >= 1) continue
     // Free slots show that the figures behind the share are too low: it grows with them.
-    const free = Math.max(0, 1 - countInFlight(work.state, id) / backend.slots)
+    const free = Math.max(0, 1 - countInFlight(granting, id) / backend.slots)
     granting.admitShares.set(id, Math.max(leastAdmitShare, share + (1 - share) * free))
   }
 }
 
-/** Counts the requests in flight at a backend server by the hosts' last reports. */
-function countInFlight (state: GatewayState, id: string): number {
-  let count = 0
-  for (const report of state.granting.reports.values()) count += report.inFlight.get(id) ?? 0
-  return count
-}
-
 /** Lists the backend servers of a service that may own keys. */
 export function listCandidates (work: GatewayWork, service: string): Candidate[] {
   const { state } = work
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -10,12 +10,15 @@
 import { advanceLeadership, applyClaim, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
 import { quietTickMs, shortestLapseMs } from './limits.js'
 import { advanceReport, applyReport } from './loadExchange.js'
+import { dropOldReports } from './loadTotals.js'
 import { advanceFollowing, handleExchangeEnd, handleFleetLoad, handlePlacementChange } from './following.js'
 import { dropRequest, endOverdue, handleAnswer, handleAnswerStart, handleCutAnswer, handleNotRun, handleSendFailure, handleStrayBytes } from './answers.js'
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
 import { acceptRequest, advanceWaiting, dropOldFences } from './placing.js'
 import { applyRenewerReport } from './renewers.js'
 import { advanceRenewing, applyRenewalResult } from './renewing.js'
+import { advancePublishing } from './publishing.js'
+import { advanceRelay } from './relaying.js'
 import { buildRouteIndex } from './routing.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
@@ -86,6 +89,9 @@
   endOverdue(work, rules)
   advanceWaiting(work, rules)
   advanceLeadership(work)
+  advancePublishing(work)
+  advanceRelay(work)
+  dropOldReports(work.state)
   advanceGranting(work, rules)
   advanceRenewing(work)
   advanceReport(work)
@@ -112,6 +118,7 @@
 
 function applyPlacement (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'placement-read' }>, rules: GatewayRules): void {
   setPlacement(work, event.placement, { revision: event.revision, confirmations: 0 })
+  advancePublishing(work)
   advanceWaiting(work, rules)
 }
 
@@ -156,7 +163,7 @@
   const { state } = work
   if (revision <= state.storeRevision) return
   state.storeRevision = revision
-  if (state.granting.role === 'leading') work.effects.push({ kind: 'relay-changes' })
+  advanceRelay(work)
 }
 
 function applyStoreLoss (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'store-lost' }>): void {
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -3,6 +3,7 @@
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, KeyRange, Placement, PlacementVersion } from './model.js'
 import type { RenewerHost, Renewing } from './renewalState.js'
 import type { GatewayStop } from './stop.js'
+import type { VersionedPlacement } from './placementChange.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { buildRenewing } from './renewalState.js'
@@ -125,6 +126,14 @@
   dirty: boolean
   /** From when a changed placement is to be written. */
   writeAt: number
+  /** What the other hosts were last told of the placement, and when they may be told again. */
+  published: VersionedPlacement | undefined
+  publishAt: number
+  /** Placement in force when it was copied since they were told: nobody else holds it, and it is changed in place. */
+  ownCopy: Placement | undefined
+  /** Revision of the store up to which the other hosts were told, and when they may be told again. */
+  relayedRevision: number
+  relayAt: number
   balanceAt: number
   tidyAt: number
   mildAt: number
@@ -138,6 +147,7 @@
   /** Share of their requests that overloaded owners can take. */
   admitShares: Map<string, number>
   admitAt: number
+  /** Last report of each host, the oldest first. */
   reports: Map<string, { at: number, inFlight: Map<string, number> }>
   /** Hosts that renew grants for this one, by name. */
   renewers: Map<string, RenewerHost>
@@ -145,6 +155,8 @@
   renewerOf: Map<string, string>
   /** When renewers are chosen next. */
   assignAt: number
+  /** Requests in flight at each backend server, summed over the reports. */
+  inFlight: Map<string, number>
 }
 
 /** Whole state of a gateway. */
@@ -289,6 +301,11 @@
     writeAgainAt: 0,
     dirty: false,
     writeAt: now,
+    published: undefined,
+    publishAt: now,
+    ownCopy: undefined,
+    relayedRevision: 0,
+    relayAt: now,
     balanceAt: now,
     tidyAt: now,
     mildAt: now,
@@ -302,7 +319,8 @@
     reports: new Map(),
     renewers: new Map(),
     renewerOf: new Map(),
-    assignAt: now
+    assignAt: now,
+    inFlight: new Map()
   }
 }
 
