Moves in progress are bounded, the busiest keys of lost owners first

When many owners left or were lost at once, one round began a move for each of their ranges: all releases, grants and messages to every host in one moment. A granting host that was behind with its renewals lost more owners from sight, and began more moves.

At most 64 moves have calls in progress now. Moves from lost owners begin as before, since the former owners' grants run out from then on, but their calls wait for room, in the order of the requests a second of their keys. Moves from leaving owners begin while there is room; moves for balance, and joins of ranges, only when nothing else waits, and the next round follows after 100 ms. Calls without an answer for 400 ms take no room; releases of silent owners repeat at doubling intervals, and at once when a backend server comes up at the owner's address. Next owners that were lost are replaced from the same plan, where each took a planning of its own.

--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -1,5 +1,6 @@
 import type { BackendRegistration } from './model.js'
 import type { Backend, GatewayState, GatewayWork } from './state.js'
+import { resetReleases } from './holders.js'
 import { assumedServiceMs, lapseGraceMs, maxGoneReports } from './limits.js'
 
 /** Takes what a backend server says of itself; a new life of it starts from nothing. */
@@ -71,6 +72,7 @@
   state.backends.set(backend.id, backend)
   addToService(work, backend.service, backend.id)
   state.listedAt.set(backend.service, state.now)
+  resetReleases(state, backend.address)
   work.effects.push({
     kind: 'log',
     event: 'backendListed',
--- a/src/core/gateway/grantChanges.ts
+++ b/src/core/gateway/grantChanges.ts
@@ -1,14 +1,13 @@
 import type { Holder, KeyRange } from './model.js'
 import type { PlannedMove } from './planner.js'
-import type { GatewayRules } from './rules.js'
 import type { GatewayWork, KeptGrant } from './state.js'
+import { isLost } from './holders.js'
 import { joinsPerRound, longestHoldMs, renewalMs } from './limits.js'
-import { buildPlannerInput } from './loadExchange.js'
 import { isWritten } from './placementWriting.js'
 
 /** Builds what is kept of a range that this host grants from now on. */
 export function buildKeptGrant (service: string, range: KeyRange, step: KeptGrant['step'], now: number): KeptGrant {
-  return { service, range, standing: [], standingAt: now, arrivedBy: now, targetArrivedBy: -Infinity, confirmedAt: now, nextAt: now, step, handover: undefined, movedAt: now }
+  return { service, range, standing: [], standingAt: now, arrivedBy: now, targetArrivedBy: -Infinity, confirmedAt: now, nextAt: now, step, handover: undefined, movedAt: now, rate: 0, askedAt: undefined }
 }
 
 /** Lists the ranges in force behind a grant, as far as they lie between two keys: its own, or those it follows while it is not written down. */
@@ -77,7 +76,9 @@
     step: 'release',
     handover: undefined,
     nextAt: now,
-    movedAt: now
+    movedAt: now,
+    rate: move.rate ?? 0,
+    askedAt: undefined
   })
   if (range.to > move.to) parts.push({ ...grant, range: { ...range, from: move.to + 1 }, standing: listStanding(work, grant, move.to + 1, range.to) })
   granting.grants.splice(index, 1, ...parts)
@@ -90,28 +91,26 @@
   })
 }
 
-/** Chooses another owner for keys whose next owner was lost before it confirmed its grant. */
-export function replaceLostTarget (work: GatewayWork, grant: KeptGrant, rules: GatewayRules): void {
-  const { range } = grant
-  if (range.phase !== 'moving' || !isLost(work, range.owner) || grant.step === 'releasing') return
-  const targetMayHold = work.state.now <= grant.targetArrivedBy + longestHoldMs
+/** Whether the next owner of moving keys was lost before it confirmed its grant, and another can be chosen. */
+export function isTargetLost (work: GatewayWork, grant: KeptGrant): boolean {
+  if (grant.range.phase !== 'moving' || !isLost(work, grant.range.owner) || grant.step === 'releasing') return false
   // The former owner may hold the keys as well: it is asked first, then the one that was to be the next.
-  if (targetMayHold && grant.step === 'release') return
-  const input = buildPlannerInput(work, grant.service, [{ ...grant, range: { ...range, phase: 'held' } }])
-  const move = rules.planMoves(input)[0]
-  if (move === undefined) return
-  range.previous = targetMayHold ? range.owner : range.previous
-  range.owner = move.owner
+  return grant.step !== 'release' || !isTargetInForce(work, grant)
+}
+
+function isTargetInForce (work: GatewayWork, grant: KeptGrant): boolean {
+  return work.state.now <= grant.targetArrivedBy + longestHoldMs
+}
+
+/** Sets another next owner of moving keys. */
+export function replaceTarget (work: GatewayWork, grant: KeptGrant, owner: Holder): void {
+  const { range } = grant
+  range.previous = isTargetInForce(work, grant) ? range.owner : range.previous
+  range.owner = owner
   range.fence = takeFence(work)
   grant.step = 'release'
+  grant.askedAt = undefined
   grant.targetArrivedBy = -Infinity
   grant.nextAt = work.state.now
   work.state.granting.dirty = true
 }
-
-/** Whether a life of a backend server has ended, leaves, or can't be reached from here. */
-function isLost (work: GatewayWork, holder: Holder): boolean {
-  const backend = work.state.backends.get(holder.id)
-  if (backend === undefined || backend.startedAt !== holder.startedAt || backend.leaving) return true
-  return (work.state.granting.unreachableUntil.get(holder.id) ?? 0) > work.state.now
-}
--- a/src/core/gateway/grantSteps.ts
+++ b/src/core/gateway/grantSteps.ts
@@ -40,7 +40,7 @@
   if (!isWritten(work, range)) return renewStanding(work, grant)
   grant.standing = []
   if (grant.step === 'release' || grant.step === 'releasing') {
-    if (range.previous === undefined || isRelieved(work, range.previous, range.owner) || hasRunOut(work, grant)) return startGrant(work, grant)
+    if (range.previous === undefined || isReleaseOver(work, grant)) return startGrant(work, grant)
     if (now >= grant.nextAt) sendRelease(work, grant, range.previous)
     return
   }
@@ -50,6 +50,12 @@
   sendGrant(work, grant)
 }
 
+/** Whether the former owner of moving keys can't hold them any more. */
+export function isReleaseOver (work: GatewayWork, grant: KeptGrant): boolean {
+  const { previous, owner } = grant.range
+  return previous === undefined || isRelieved(work, previous, owner) || hasRunOut(work, grant)
+}
+
 /**
  * Renews the ranges that a change follows until the change is written down: the store may be
  * silent for longer than a grant holds, and requests go to the owner in force until then.
@@ -73,6 +79,7 @@
 
 function startGrant (work: GatewayWork, grant: KeptGrant): void {
   grant.step = 'grant'
+  grant.askedAt = undefined
   grant.nextAt = work.state.now
   grant.confirmedAt = work.state.now
   if (isPlacing(work)) sendGrant(work, grant)
@@ -83,17 +90,26 @@
   grant.nextAt = work.state.now + askAgainMs
   // An unanswered grant may hold all the same, for a next owner as for one that is renewed.
   grant.arrivedBy = work.state.now
-  if (grant.step === 'grant') grant.targetArrivedBy = work.state.now
+  if (grant.step === 'grant') {
+    grant.targetArrivedBy = work.state.now
+    grant.askedAt ??= work.state.now
+  }
   work.effects.push(buildGrantEffect(grant.service, range, grant.step === 'grant' ? grant.handover : undefined))
 }
 
 function sendRelease (work: GatewayWork, grant: KeptGrant, previous: Holder): void {
   const { from, to, fence } = grant.range
   grant.step = 'releasing'
-  grant.nextAt = work.state.now + releaseAgainMs
+  grant.askedAt ??= work.state.now
+  grant.nextAt = work.state.now + computeReleaseAgainMs(work, grant, releaseAgainMs)
   work.effects.push({ kind: 'release', service: grant.service, backend: previous.id, address: previous.address, from, to, fence })
 }
 
+/** Computes the time to the next release, in milliseconds: a former owner that stays silent is asked less and less. */
+function computeReleaseAgainMs (work: GatewayWork, grant: KeptGrant, leastMs: number): number {
+  return Math.max(leastMs, work.state.now - (grant.askedAt ?? work.state.now))
+}
+
 function buildGrantEffect (service: string, range: KeyRange, handover: string | undefined): GatewayEffect {
   const { owner, from, to, fence } = range
   return { kind: 'grant', service, backend: owner.id, address: owner.address, from, to, fence, holdMs, handover }
@@ -172,6 +188,7 @@
   grant.range.fence = takeFence(work)
   grant.range.phase = 'moving'
   grant.step = 'release'
+  grant.askedAt = undefined
   grant.nextAt = now + retryMs
   granting.dirty = true
 }
@@ -186,5 +203,5 @@
     return
   }
   grant.step = 'release'
-  grant.nextAt = Math.min(grant.nextAt, work.state.now + retryMs)
+  grant.nextAt = Math.min(grant.nextAt, work.state.now + computeReleaseAgainMs(work, grant, retryMs))
 }
--- a/src/core/gateway/granting.ts
+++ b/src/core/gateway/granting.ts
@@ -1,12 +1,14 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayWork } from './state.js'
-import { addFirstGrant, buildKeptGrant, joinNeighbours, replaceLostTarget, startMove } from './grantChanges.js'
+import { addFirstGrant, buildKeptGrant, isTargetLost, joinNeighbours, replaceTarget, startMove } from './grantChanges.js'
 import { advanceGrant } from './grantSteps.js'
-import { balanceMs, longestSettleMs, mildRoundMs, settleMs, tidyMs } from './limits.js'
+import { balanceMs, crowdedRoundMs, longestSettleMs, mildRoundMs, settleMs, tidyMs } from './limits.js'
 import { isGranting, isPlacing } from './leadership.js'
 import { buildPlannerInput, listCandidates, updateAdmitShares } from './loadExchange.js'
+import { chooseMoves, countMovesLeft, advanceMoves } from './moves.js'
 import { writePlacement } from './placementWriting.js'
 import { planInitial } from './planner.js'
+import { findRange } from './routing.js'
 
 /** Takes up the placement of the store when this host has begun to lead. */
 export function loadGrants (work: GatewayWork): void {
@@ -33,7 +35,10 @@
     planPlacement(work, rules)
     writePlacement(work)
   }
-  for (const grant of work.state.granting.grants) advanceGrant(work, grant)
+  advanceMoves(work)
+  for (const grant of work.state.granting.grants) {
+    if (grant.step === 'keep') advanceGrant(work, grant)
+  }
 }
 
 function planPlacement (work: GatewayWork, rules: GatewayRules): void {
@@ -41,6 +46,7 @@
   const { granting, now } = state
   if (now < granting.balanceAt) return
   granting.balanceAt = now + balanceMs
+  const isCrowded = countMovesLeft(work) === 0
   for (const service of state.configuration?.services.values() ?? []) {
     if (!service.sharded) continue
     const grants = granting.grants.filter(grant => grant.service === service.name)
@@ -49,14 +55,30 @@
       for (const move of planInitial(listCandidates(work, service.name))) addFirstGrant(work, service.name, move)
       continue
     }
-    joinNeighbours(work, service.name)
-    for (const move of rules.planMoves(buildPlannerInput(work, service.name, grants))) startMove(work, service.name, move)
-    for (const grant of grants) replaceLostTarget(work, grant, rules)
+    if (!isCrowded) joinNeighbours(work, service.name)
+    planService(work, service.name, isCrowded, rules)
   }
+  if (isCrowded) return
   if (now >= granting.tidyAt) granting.tidyAt = now + tidyMs
   if (now >= granting.mildAt) granting.mildAt = now + mildRoundMs
 }
 
+/** Begins the moves of a service that are due and for which there is room; what is left is planned again soon. */
+function planService (work: GatewayWork, service: string, isCrowded: boolean, rules: GatewayRules): void {
+  const { granting, now } = work.state
+  const grants = granting.grants.filter(grant => grant.service === service)
+  const replaced = new Map(grants.filter(grant => isTargetLost(work, grant)).map(grant => [grant.range.from, grant]))
+  const input = buildPlannerInput(work, service, grants.map(grant => replaced.has(grant.range.from) ? { ...grant, range: { ...grant.range, phase: 'held' as const } } : grant))
+  // With too many moves in progress none begins for the sake of balance.
+  const planned = rules.planMoves(isCrowded ? { ...input, mayTidy: false, relievedLoad: Infinity } : input)
+  const targets = planned.filter(move => replaced.has(move.from))
+  const others = planned.filter(move => findRange(input.ranges, move.from)?.phase === 'held' && !targets.includes(move))
+  for (const move of targets) replaceTarget(work, replaced.get(move.from)!, move.owner)
+  const begun = chooseMoves(work, others, move => findRange(input.ranges, move.from)?.owner)
+  for (const move of begun) startMove(work, service, move)
+  if (isCrowded || begun.length < others.length) granting.balanceAt = now + crowdedRoundMs
+}
+
 /** Whether the backend servers of a service have stopped arriving. */
 function isSettled (work: GatewayWork, service: string): boolean {
   const { state } = work
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -68,6 +68,12 @@
 export const mildLoad = 0.45
 /** Time between two such rounds, in milliseconds: each move wakes every host. */
 export const mildRoundMs = 1500
+/** Moves whose calls are in progress at once, at most: at 20 to 200 ms for each, several hundred a second. */
+export const movesInProgress = 64
+/** Time after which an unanswered call of a move no longer counts as in progress, in milliseconds: work in progress has mostly ended by then. */
+export const moveAnswerMs = 400
+/** Time to the next round of planning while moves wait for others to finish, in milliseconds. */
+export const crowdedRoundMs = 100
 /** Most moves that one round of balancing plans. */
 export const movesPerRound = 24
 /** Requests that must have been counted before keys move for their load. */
--- a/src/core/gateway/planner.ts
+++ b/src/core/gateway/planner.ts
@@ -25,8 +25,8 @@
   mayLeave: (from: number) => boolean
 }
 
-/** Keys that should go to another owner. */
-export type PlannedMove = { from: number, to: number, owner: Holder }
+/** Keys that should go to another owner; `rate` in requests a second. */
+export type PlannedMove = { from: number, to: number, owner: Holder, rate?: number }
 
 /** Rate that each key counts besides what was seen, in requests a second: keys nobody asked for also matter. */
 const idleKeyRate = 0.0002
@@ -194,7 +194,7 @@
     if (share === undefined) return moves
     const to: number = computeRate(rest) - rate < partRate / 4 ? rest.to : findCut(rest, rate)
     const cut = cutPiece(rest, rest.from, to, formatLife(share.candidate), false)
-    moves.push({ from: cut.from, to: cut.to, owner: buildHolder(share.candidate) })
+    moves.push({ from: cut.from, to: cut.to, owner: buildHolder(share.candidate), rate: computeRate(cut) })
     share.load += computeLoad(cut, share.candidate)
     share.ranges += 1
     const remainder: Piece | undefined = to < rest.to ? cutPiece(rest, to + 1, rest.to, rest.owner, true) : undefined
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -77,6 +77,10 @@
   step: 'release' | 'releasing' | 'grant' | 'keep'
   handover: string | undefined
   movedAt: number
+  /** Requests a second of the keys when their move began. */
+  rate: number
+  /** When the first call of this step of a move was sent. */
+  askedAt: number | undefined
 }
 
 /** Requests for one key over the fleet, decaying: over the usual time, and over a short one. */
