Answers to the granting host's calls advance their own grant only

Each answer to a release, and each write, planned and went through all grants; an answer to a grant searched all grants, and every grant that was due or in release searched all backend servers for another life of its owner.

An answer to a release takes its own grant on, a write the moves that it holds; the rest is done by the next tick. Grants are found by their first key, backend servers by their address. Requests that wait for an owner are tried again when their keys' range changed, and in each tick. Admitted shares read the placement and the key rates only, which are computed once a moment, and the planner sums the rates of a range once. Fencing tokens that are no more are looked for once a second.

--- a/measure/grantingCosts.ts
+++ b/measure/grantingCosts.ts
@@ -95,6 +95,7 @@
       report()
       // A plan that is not carried out, so that each round sees the same ranges.
       inForce = { ...rules, planMoves: input => rules.planMoves({ ...input, mayTidy: true }).slice(0, 0) }
+      Object.assign(state, { reportAt: Infinity })
       state.granting.balanceAt = now
       const { ms, effects } = tick(20)
       inForce = idle
--- a/measure/runMeasure.ts
+++ b/measure/runMeasure.ts
@@ -4,6 +4,7 @@
 import { buildDefaultRules } from '../src/core/index.js'
 import { loadHashKey } from '../src/runtime/hashKey.js'
 import { measureGatewaySlopes } from './gatewaySlopes.js'
+import { measureGrantingCosts } from './grantingCosts.js'
 import { runPlacementScenes } from './placementScenes.js'
 import { steadyRates } from './queueScene.js'
 import { runQueueScenes } from './queueScenes.js'
@@ -25,7 +26,7 @@
 const recovery = isWanted('recovery') ? runRecoveryScenes(rules) : []
 const placement = isWanted('placement') ? runPlacementScenes(hashKey) : []
 const slopes = isWanted('slopes') ? measureSlopes(rules) : []
-const gateway = isWanted('gateway') ? measureGatewaySlopes() : []
+const gateway = isWanted('gateway') ? [...measureGatewaySlopes(), ...measureGrantingCosts()] : []
 
 if (queues.length > 0) {
   console.log('Queues: one backend server of 4 slots, 20 s; goodput of what is offered, share of offered met in target, p99 ms')
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -71,6 +71,8 @@
   }
   state.backends.set(backend.id, backend)
   addToService(work, backend.service, backend.id)
+  const atAddress = state.backendsByAddress.get(backend.address) ?? new Set<string>()
+  state.backendsByAddress.set(backend.address, atAddress.add(backend.id))
   state.listedAt.set(backend.service, state.now)
   resetReleases(state, backend.address)
   work.effects.push({
@@ -130,6 +132,13 @@
   state.backends.delete(id)
   state.lapsed.delete(id)
   state.backendsByService.get(backend.service)?.delete(id)
+  dropFromAddress(state, backend)
   work.effects.push({ kind: 'close-backend', backend: id })
   work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: id, service: backend.service, how: 'gone' } })
 }
+
+function dropFromAddress (state: GatewayState, { id, address }: Backend): void {
+  const atAddress = state.backendsByAddress.get(address)
+  atAddress?.delete(id)
+  if (atAddress?.size === 0) state.backendsByAddress.delete(address)
+}
--- a/src/core/gateway/following.ts
+++ b/src/core/gateway/following.ts
@@ -43,7 +43,7 @@
   if (change.base !== undefined && !isSameVersion(change.base, state.placementVersion)) return askForPlacement(state)
   state.wantsPlacement = false
   setPlacement(work, applyPlacementChange(state.placement, change), change.next)
-  advanceWaiting(work, rules)
+  advanceWaiting(work, rules, change.base === undefined ? undefined : change.changes)
 }
 
 function askForPlacement (state: GatewayState): void {
--- a/src/core/gateway/grantSteps.ts
+++ b/src/core/gateway/grantSteps.ts
@@ -3,6 +3,7 @@
 import type { Holder, KeyRange } from './model.js'
 import type { GatewayWork, KeptGrant } from './state.js'
 import { takeFence } from './grantChanges.js'
+import { findGrant } from './grantSearch.js'
 import { isPlacing } from './leadership.js'
 import { askAgainMs, avoidanceMs, confirmationDelayMs, holdMs, longestHoldMs, releaseAgainMs, renewalMs, unreachableAfterMs } from './limits.js'
 import { isWritten, sendConfirmation } from './placementWriting.js'
@@ -12,12 +13,13 @@
 
 /** Whether a newer life of a backend server, or another one at its address, proves that this life has ended. */
 function isReborn (work: GatewayWork, holder: Holder): boolean {
-  const { backends, configuration } = work.state
+  const { backends, backendsByAddress, configuration } = work.state
   const backend = backends.get(holder.id)
   if (backend !== undefined && backend.startedAt > holder.startedAt) return true
-  for (const other of backends.values()) {
+  for (const id of backendsByAddress.get(holder.address) ?? []) {
+    const other = backends.get(id)
     // A registration of an unknown service may come from anybody, and proves nothing.
-    if (other.address === holder.address && other.startedAt > holder.startedAt && configuration?.services.has(other.service) === true) return true
+    if (other !== undefined && other.startedAt > holder.startedAt && configuration?.services.has(other.service) === true) return true
   }
   return false
 }
@@ -115,15 +117,9 @@
   return { kind: 'grant', service, backend: owner.id, address: owner.address, from, to, fence, holdMs, handover }
 }
 
-function findGrant (work: GatewayWork, service: string, from: number, to: number, fence: number): KeptGrant | undefined {
-  return work.state.granting.grants.find(grant => {
-    return grant.service === service && grant.range.from === from && grant.range.to === to && grant.range.fence === fence
-  })
-}
-
 /** Takes the result of a grant or renewal. */
 export function applyGrantResult (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'grant-ended' }>): void {
-  const grant = findGrant(work, event.service, event.from, event.to, event.fence)
+  const grant = findGrant(work.state.granting, event)
   if (grant === undefined) return applyStandingResult(work, event)
   const { granting, now } = work.state
   switch (event.outcome.kind) {
@@ -195,7 +191,7 @@
 
 /** Takes the result of taking keys back. */
 export function applyReleaseResult (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'release-ended' }>): void {
-  const grant = findGrant(work, event.service, event.from, event.to, event.fence)
+  const grant = findGrant(work.state.granting, event)
   if (grant === undefined || (grant.step !== 'release' && grant.step !== 'releasing')) return
   if (event.outcome.kind === 'released') {
     grant.handover = event.outcome.handover
--- a/src/core/gateway/granting.ts
+++ b/src/core/gateway/granting.ts
@@ -41,6 +41,13 @@
   }
 }
 
+/** Does what a written placement allows: the next write, and the calls of the moves that it holds. */
+export function advanceWritten (work: GatewayWork): void {
+  if (!isGranting(work)) return
+  if (isPlacing(work)) writePlacement(work)
+  advanceMoves(work)
+}
+
 function planPlacement (work: GatewayWork, rules: GatewayRules): void {
   const { state } = work
   const { granting, now } = state
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -3,14 +3,12 @@
 import type { PlannerInput, Candidate } from './planner.js'
 import type { Backend, DecayingSum, GatewayState, GatewayWork, KeptGrant } from './state.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
+import { computeKeyRates } from './keyRates.js'
 import { findRange } from './routing.js'
 import {
-  assumedServiceMs, computeReportMs, earlyGrowth, earlyReportMs, firstCountMs, hotKeyStayMs, keptReportMs, leastCounted, maxReportMs, maxReportedKeys, mildLoad, rateMemoryMs, reportMs,
-  reportMsPerHost, suddenCount, suddenMemoryMs, urgentLoad
+  assumedServiceMs, computeReportMs, earlyGrowth, earlyReportMs, hotKeyStayMs, keptReportMs, maxReportMs, maxReportedKeys, mildLoad, rateMemoryMs, reportMsPerHost, suddenMemoryMs, urgentLoad
 } from './limits.js'
 
-/** Decayed count below which a key is forgotten. */
-const forgottenCount = 0.05
 /** Time between two computations of what owners can take, in milliseconds. */
 const admitUpdateMs = 150
 /** Load that an owner is given at most, in parts of its slots; the limit on its queue takes the rest. */
@@ -216,7 +214,8 @@
   const offered = new Map<string, number>()
   for (const service of work.state.configuration?.services.values() ?? []) {
     if (!service.sharded) continue
-    const { ranges, rates } = buildPlannerInput(work, service.name, granting.grants.filter(grant => grant.service === service.name))
+    const ranges = work.state.placement?.services.get(service.name) ?? []
+    const rates = computeKeyRates(granting, service.name, now)
     for (const [key, rate] of rates) {
       const owner = findRange(ranges, key)?.owner.id
       if (owner !== undefined) offered.set(owner, (offered.get(owner) ?? 0) + rate)
@@ -262,27 +261,10 @@
   return candidates
 }
 
-function computeSuddenRate (sum: DecayingSum, now: number): number {
-  const sudden = sum.sudden * Math.exp((sum.at - now) / suddenMemoryMs)
-  return sudden < suddenCount ? 0 : sudden * 1000 / suddenMemoryMs
-}
-
 /** Builds what the planner needs to know of a service. */
 export function buildPlannerInput (work: GatewayWork, service: string, grants: readonly KeptGrant[]): PlannerInput {
   const { granting, now } = work.state
-  const rates = new Map<number, number>()
-  const known = granting.rates.get(service)
-  const countedMs = now - (granting.countedSince.get(service) ?? now) + reportMs
-  const windowMs = rateMemoryMs * (1 - Math.exp(-countedMs / rateMemoryMs))
-  let counted = 0
-  for (const [key, sum] of known ?? []) {
-    const value = sum.value * Math.exp((sum.at - now) / rateMemoryMs)
-    counted += value
-    if (value < forgottenCount) known?.delete(key)
-    else rates.set(key, Math.max(value * 1000 / windowMs, computeSuddenRate(sum, now)))
-  }
-  // What callers ask for in the first moment after an outage tells little, and a move away from a full queue takes seconds.
-  if (counted < leastCounted || now - granting.ledSince < firstCountMs) rates.clear()
+  const rates = computeKeyRates(granting, service, now)
   const movedAt = new Map(grants.map(grant => [grant.range.from, grant.movedAt]))
   const ranges = grants.map(grant => grant.range).sort((a, b) => a.from - b.from)
   return { ranges, candidates: listCandidates(work, service), rates, mayTidy: now >= granting.tidyAt, relievedLoad: now >= granting.mildAt ? mildLoad : urgentLoad, mayLeave: from => now - (movedAt.get(from) ?? -Infinity) > hotKeyStayMs }
--- a/src/core/gateway/moves.ts
+++ b/src/core/gateway/moves.ts
@@ -11,8 +11,12 @@
 
 /** Does what is due with the moves, the busiest keys first; a first call waits until there is room for it. */
 export function advanceMoves (work: GatewayWork): void {
-  const moves = work.state.granting.grants.filter(grant => grant.step !== 'keep').sort((a, b) => b.rate - a.rate)
+  const moves: KeptGrant[] = []
+  for (const grant of work.state.granting.grants) {
+    if (grant.step !== 'keep') moves.push(grant)
+  }
   if (moves.length === 0) return
+  moves.sort((a, b) => b.rate - a.rate)
   const room = countRoom(work, moves)
   for (const grant of moves) {
     if (!isFirstCall(work, grant) || takeRoom(work, grant, room)) advanceGrant(work, grant)
--- a/src/core/gateway/placing.ts
+++ b/src/core/gateway/placing.ts
@@ -1,4 +1,5 @@
 import type { GatewayEvent } from './events.js'
+import type { KeyRange } from './model.js'
 import type { GatewayRules } from './rules.js'
 import type { Backend, GatewayRequest, GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
@@ -22,6 +23,11 @@
 /** Most connections that a host needs to a backend server: its slots and its queue. */
 const mostConnections = 24
 
+/** Time between two looks for fencing tokens that are no longer in use, in milliseconds. */
+const dropFencesMs = 1000
+
+type ChangedKeys = ReadonlyArray<{ service: string, range: Pick<KeyRange, 'from' | 'to'> }>
+
 type Arrived = Extract<GatewayEvent, { kind: 'request-arrived' }>
 
 /** Takes a request that a caller sent: finds its route and sends, holds or refuses it. */
@@ -125,7 +131,8 @@
 /** Forgets since when keys miss their owner, for grants that are no more. */
 export function dropOldFences (work: GatewayWork): void {
   const { state } = work
-  if (state.unownedSince.size === 0) return
+  if (state.unownedSince.size === 0 || state.now < state.dropFencesAt) return
+  state.dropFencesAt = state.now + dropFencesMs
   const present = new Set<number>()
   for (const ranges of state.placement?.services.values() ?? []) {
     for (const range of ranges) present.add(range.fence)
@@ -135,15 +142,22 @@
   }
 }
 
-/** Tries again to place the requests that wait for an owner. */
-export function advanceWaiting (work: GatewayWork, rules: GatewayRules): void {
+/** Tries again to place the requests that wait for an owner: all of them, or those for keys whose ranges changed. */
+export function advanceWaiting (work: GatewayWork, rules: GatewayRules, changed?: ChangedKeys): void {
+  if (work.state.waiting.size === 0) return
   for (const id of [...work.state.waiting]) {
     const request = work.state.requests.get(id)
+    if (request !== undefined && changed !== undefined && !isChanged(request, changed)) continue
     work.state.waiting.delete(id)
     if (request !== undefined) placeRequest(work, request, rules)
   }
 }
 
+function isChanged (request: GatewayRequest, changed: ChangedKeys): boolean {
+  const { key, service } = request
+  return key !== undefined && changed.some(each => each.range.from <= key && key <= each.range.to && each.service === service)
+}
+
 /** Computes how many connections this host may have to one backend server: its share of what the server accepts. */
 function computeConnectionShare (state: GatewayState, service: string): number {
   const accepted = state.configuration?.services.get(service)?.maxConnections ?? Infinity
--- a/src/core/gateway/planner.ts
+++ b/src/core/gateway/planner.ts
@@ -55,8 +55,8 @@
 /** Moves to neighbours that one round plans. */
 const tidyMovesPerRound = 3
 
-type Piece = { from: number, to: number, owner: string, movable: boolean, keys: Array<[key: number, rate: number]> }
-type Share = { candidate: Candidate, load: number, ranges: number }
+type Piece = { from: number, to: number, owner: string, movable: boolean, keys: Array<[key: number, rate: number]>, rate: number }
+type Share = { life: string, candidate: Candidate, load: number, ranges: number }
 type Shares = Map<string, Share>
 
 /** Splits the whole key space among the candidates, in proportion to what they can serve. */
@@ -80,7 +80,7 @@
   if (input.candidates.length === 0) return []
   const pieces = listPieces(input)
   const candidates = weighSpeeds(input.candidates, pieces)
-  const shares: Shares = new Map(candidates.map(candidate => [formatLife(candidate), { candidate, load: 0, ranges: 0 }]))
+  const shares: Shares = new Map(candidates.map(candidate => ({ life: formatLife(candidate), candidate, load: 0, ranges: 0 })).map(share => [share.life, share]))
   for (const piece of pieces) {
     const share = shares.get(piece.owner)
     if (share === undefined) continue
@@ -111,7 +111,7 @@
       if (entry !== undefined) keys.push(entry)
       next += 1
     }
-    return { from: range.from, to: range.to, owner: formatLife(range.owner), movable: range.phase === 'held', keys }
+    return buildPiece(range.from, range.to, formatLife(range.owner), range.phase === 'held', keys)
   })
 }
 
@@ -123,7 +123,7 @@
   const capacity = candidates.reduce((sum, candidate) => sum + computeCapacity(candidate), 0)
   const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0)
   const meanServiceMs = slots * 1000 / capacity
-  const load = pieces.reduce((sum, piece) => sum + computeRate(piece), 0) / capacity
+  const load = pieces.reduce((sum, piece) => sum + piece.rate, 0) / capacity
   const room = Math.min(1, Math.max(0, (fullLoad - load) / (fullLoad - easyLoad)))
   return candidates.map(candidate => {
     return { ...candidate, serviceMs: candidate.serviceMs * (candidate.serviceMs / meanServiceMs) ** (room * speedPreference) }
@@ -139,14 +139,14 @@
   return rate / computeCapacity(candidate)
 }
 
-function computeRate (piece: Piece): number {
-  let rate = (piece.to - piece.from + 1) * idleKeyRate
-  for (const key of piece.keys) rate += key[1]
-  return rate
+function buildPiece (from: number, to: number, owner: string, movable: boolean, keys: Piece['keys']): Piece {
+  let rate = Math.max(0, to - from + 1) * idleKeyRate
+  for (const key of keys) rate += key[1]
+  return { from, to, owner, movable, keys, rate }
 }
 
 function computeLoad (piece: Piece, candidate: Candidate): number {
-  return computeUtilization(computeRate(piece), candidate)
+  return computeUtilization(piece.rate, candidate)
 }
 
 /** Computes the load at which all candidates would be equally busy. */
@@ -176,7 +176,7 @@
 /** Computes the requests a second of each owner from its pieces. */
 function computeOwnerRates (pieces: readonly Piece[]): Map<string, number> {
   const rates = new Map<string, number>()
-  for (const piece of pieces) rates.set(piece.owner, (rates.get(piece.owner) ?? 0) + computeRate(piece))
+  for (const piece of pieces) rates.set(piece.owner, (rates.get(piece.owner) ?? 0) + piece.rate)
   return rates
 }
 
@@ -189,12 +189,12 @@
   let rest: Piece | undefined = piece
   const partRate = Math.max(lostPart, leastPartRate)
   while (rest !== undefined) {
-    const rate: number = Math.min(computeRate(rest), partRate)
+    const rate: number = Math.min(rest.rate, partRate)
     const share = findLeastLoaded(shares, rate)
     if (share === undefined) return moves
-    const to: number = computeRate(rest) - rate < partRate / 4 ? rest.to : findCut(rest, rate)
-    const cut = cutPiece(rest, rest.from, to, formatLife(share.candidate), false)
-    moves.push({ from: cut.from, to: cut.to, owner: buildHolder(share.candidate), rate: computeRate(cut) })
+    const to: number = rest.rate - rate < partRate / 4 ? rest.to : findCut(rest, rate)
+    const cut = cutPiece(rest, rest.from, to, share.life, false)
+    moves.push({ from: cut.from, to: cut.to, owner: buildHolder(share.candidate), rate: cut.rate })
     share.load += computeLoad(cut, share.candidate)
     share.ranges += 1
     const remainder: Piece | undefined = to < rest.to ? cutPiece(rest, to + 1, rest.to, rest.owner, true) : undefined
@@ -205,7 +205,7 @@
 }
 
 function cutPiece (piece: Piece, from: number, to: number, owner: string, movable: boolean): Piece {
-  return { from, to, owner, movable, keys: piece.keys.filter(([key]) => key >= from && key <= to) }
+  return buildPiece(from, to, owner, movable, piece.keys.filter(([key]) => key >= from && key <= to))
 }
 
 /** Finds the last key of the first part of a piece whose keys bring about the given rate. */
@@ -224,9 +224,12 @@
 
 /** Moves a part of an overloaded owner's keys, the busiest first; undefined when no move would help. */
 function relieveOverloaded (pieces: Piece[], shares: Shares, input: PlannerInput): PlannedMove | undefined {
-  const movable = new Set(pieces.filter(piece => piece.movable).map(piece => piece.owner))
-  const busiest = [...shares].filter(([life]) => movable.has(life)).map(([, share]) => share).sort((a, b) => b.load - a.load)
-  for (const share of busiest.slice(0, relievedOwners)) {
+  const busiest = [...shares.values()].sort((a, b) => b.load - a.load)
+  let tried = 0
+  for (const share of busiest) {
+    if (tried === relievedOwners) break
+    if (!pieces.some(piece => piece.movable && piece.owner === share.life)) continue
+    tried += 1
     const move = relieveOwner(pieces, shares, share, input)
     if (move !== undefined) return move
   }
@@ -248,12 +251,12 @@
   // Where all others lie just below the mean, half of the difference still helps.
   const rate = levelling < worthwhile ? (busiest.load - target.load) / 2 * computeSharedCapacity(busiest, target) : levelling
   if (rate < worthwhile && !isUnused) return relieveHotKey(pieces, shares, busiest, input)
-  const segment = findSegment(pieces, formatLife(busiest.candidate), isUnused ? Math.max(rate, take / 2) : rate)
+  const segment = findSegment(pieces, busiest.life, isUnused ? Math.max(rate, take / 2) : rate)
   if (segment === undefined) return undefined
-  const gain = computeUtilization(computeRate(segment), busiest.candidate)
-  const cost = computeUtilization(computeRate(segment), target.candidate)
+  const gain = computeUtilization(segment.rate, busiest.candidate)
+  const cost = computeUtilization(segment.rate, target.candidate)
   if (target.load + cost > busiest.load - gain / 2 && !isUnused) return relieveHotKey(pieces, shares, busiest, input)
-  replaceSegment(pieces, segment, formatLife(target.candidate))
+  replaceSegment(pieces, segment, target.life)
   busiest.load -= gain
   target.load += cost
   target.ranges += 1
@@ -286,7 +289,7 @@
 function relieveHotKey (pieces: Piece[], shares: Shares, busiest: Share, input: PlannerInput): PlannedMove | undefined {
   let hottest: { piece: Piece, key: number, rate: number } | undefined
   for (const piece of pieces) {
-    if (piece.owner !== formatLife(busiest.candidate) || !piece.movable || (piece.from === piece.to && !input.mayLeave(piece.from))) continue
+    if (piece.owner !== busiest.life || !piece.movable || (piece.from === piece.to && !input.mayLeave(piece.from))) continue
     for (const [key, rate] of piece.keys) {
       if (hottest === undefined || rate > hottest.rate) hottest = { piece, key, rate }
     }
@@ -299,7 +302,7 @@
   }
   if (target === undefined) return undefined
   const segment = cutPiece(hottest.piece, hottest.key, hottest.key, hottest.piece.owner, true)
-  replaceSegment(pieces, segment, formatLife(target.candidate))
+  replaceSegment(pieces, segment, target.life)
   busiest.load -= computeUtilization(hottest.rate, busiest.candidate)
   target.load += computeUtilization(hottest.rate, target.candidate)
   target.ranges += 1
@@ -312,8 +315,8 @@
   let bestScore = 0
   for (const piece of pieces) {
     if (piece.owner !== owner || !piece.movable) continue
-    const segment = computeRate(piece) <= rate * 1.15 ? piece : findWindow(piece, rate) ?? cutPiece(piece, piece.from, findCut(piece, rate), owner, true)
-    const found = computeRate(segment)
+    const segment = piece.rate <= rate * 1.15 ? piece : findWindow(piece, rate) ?? cutPiece(piece, piece.from, findCut(piece, rate), owner, true)
+    const found = segment.rate
     const score = found > rate * 1.3 ? rate / found / 2 : found
     if (score <= bestScore) continue
     best = segment
@@ -358,7 +361,7 @@
   if (pieces.length <= shares.size * comfortableRanges) return []
   const mean = computeMeanLoad(shares)
   const moves: PlannedMove[] = []
-  const byRate = pieces.map((piece, index) => ({ piece, index, rate: computeRate(piece) })).sort((a, b) => a.rate - b.rate)
+  const byRate = pieces.map((piece, index) => ({ piece, index, rate: piece.rate })).sort((a, b) => a.rate - b.rate)
   const touched = new Set<number>()
   for (const { piece, index, rate } of byRate) {
     if (moves.length === tidyMovesPerRound) break
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -4,7 +4,7 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { applyAbsence, applyRegistration, endLapsed } from './backends.js'
-import { advanceGranting } from './granting.js'
+import { advanceGranting, advanceWritten } from './granting.js'
 import { applyGrantResult, applyReleaseResult } from './grantSteps.js'
 import { advanceLeadership, applyClaim, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
 import { quietTickMs, shortestLapseMs } from './limits.js'
@@ -51,7 +51,7 @@
     case 'lease-renewed': return applyLeaseRenewal(work, event)
     case 'placement-written': return applyWrite(work, event, rules)
     case 'grant-ended': return applyGrantEvent(work, event, rules)
-    case 'release-ended': return applyReleaseEvent(work, event, rules)
+    case 'release-ended': return applyReleaseResult(work, event)
     case 'load-reported': return applyHostReport(work, event.report)
     case 'fleet-load-read': return handleFleetLoad(work, event)
     case 'placement-changed': return handlePlacementChange(work, event.change, rules)
@@ -106,20 +106,18 @@
 }
 
 function applyWrite (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'placement-written' }>, rules: GatewayRules): void {
+  const { placement } = work.state
   applyPlacementWrite(work, event)
-  advanceGranting(work, rules)
+  if (work.state.placement === placement) return
+  advanceWritten(work)
   advanceWaiting(work, rules)
 }
 
 function applyGrantEvent (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'grant-ended' }>, rules: GatewayRules): void {
   // What else is due with the grants waits for the next tick: with hundreds of owners these events come all the time.
+  const { placement } = work.state
   applyGrantResult(work, event)
-  advanceWaiting(work, rules)
-}
-
-function applyReleaseEvent (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'release-ended' }>, rules: GatewayRules): void {
-  applyReleaseResult(work, event)
-  advanceGranting(work, rules)
+  if (work.state.placement !== placement) advanceWaiting(work, rules, [{ service: event.service, range: event }])
 }
 
 function applySync (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'store-synced' }>): void {
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -114,6 +114,8 @@
   /** Whether the store was told that all of them have stopped. */
   isSettled: boolean
   grants: KeptGrant[]
+  /** Grants by service and first key, as they were last looked up; one that was replaced since no longer fits what is asked for. */
+  foundGrants: Map<string, Map<number, KeptGrant>>
   /** Whether the grants of the store's placement were taken up. */
   loaded: boolean
   nextFence: number
@@ -131,6 +133,8 @@
   /** When the last grant that each owner confirmed was sent. */
   heardAt: Map<string, number>
   rates: Map<string, Map<number, DecayingSum>>
+  /** Requests a second by service and key, as they were last computed. */
+  keyRates: Map<string, { at: number, rates: ReadonlyMap<number, number> }>
   /** When the first requests of each service were counted. */
   countedSince: Map<string, number>
   service: Map<string, { sum: number, count: number, at: number }>
@@ -161,6 +165,8 @@
   splitCredit: Map<string, number[]>
   backends: Map<string, Backend>
   backendsByService: Map<string, Set<string>>
+  /** Backend servers at each address: more than one while an earlier life is still listed. */
+  backendsByAddress: Map<string, Set<string>>
   /** How far the reports of each backend server have come, by its id. */
   latestReports: Map<string, Pick<BackendRegistration, 'startedAt' | 'report'>>
   /** When the last new backend server of each service was listed. */
@@ -191,6 +197,8 @@
   waiting: Set<string>
   /** Since when the keys of a grant, named by its fencing token, have had no owner to send to. */
   unownedSince: Map<number, number>
+  /** When fencing tokens that are no more are dropped from it next. */
+  dropFencesAt: number
   /** Longest timeout seen from callers of each route; a shorter one means that the caller came back. */
   longestTimeout: Map<string, number>
   retryTokens: Map<string, number>
@@ -221,6 +229,7 @@
     splitCredit: new Map(),
     backends: new Map(),
     backendsByService: new Map(),
+    backendsByAddress: new Map(),
     latestReports: new Map(),
     listedAt: new Map(),
     lapsed: new Map(),
@@ -239,6 +248,7 @@
     requests: new Map(),
     waiting: new Set(),
     unownedSince: new Map(),
+    dropFencesAt: now,
     longestTimeout: new Map(),
     retryTokens: new Map(),
     keyCounts: new Map(),
@@ -270,6 +280,7 @@
     isSettled: false,
     predecessorUntil: 0,
     grants: [],
+    foundGrants: new Map(),
     loaded: false,
     nextFence: 1,
     writing: undefined,
@@ -282,6 +293,7 @@
     unreachableUntil: new Map(),
     heardAt: new Map(),
     rates: new Map(),
+    keyRates: new Map(),
     countedSince: new Map(),
     service: new Map(),
     admitShares: new Map(),
