Tidying keeps pace with the number of ranges

A round of tidying gave three cold ranges to neighbours, however many there were: the ranges that a release and flapping owners leave behind were renewed one by one for minutes.

A round gives a quarter of the ranges beyond three for each owner to neighbours whose load allows it.

Where a round of tidying falls together with moves for load, it is still left out.

--- a/src/core/gateway/planner.ts
+++ b/src/core/gateway/planner.ts
@@ -52,8 +52,10 @@
 const partsOfLostOwner = 4
 /** Smallest such part, in requests a second. */
 const leastPartRate = 0.5
-/** Moves to neighbours that one round plans. */
+/** Fewest moves to neighbours that one round plans while there are too many ranges. */
 const tidyMovesPerRound = 3
+/** Part of the ranges beyond the comfortable number that one round gives to neighbours. */
+const tidiedShare = 0.25
 
 type Piece = { from: number, to: number, owner: string, movable: boolean, keys: Array<[key: number, rate: number]>, rate: number }
 type Share = { life: string, candidate: Candidate, load: number, ranges: number }
@@ -358,13 +360,15 @@
 
 /** Gives cold ranges to the owners of their neighbours when there are many ranges. */
 function planTidying (pieces: Piece[], shares: Shares): PlannedMove[] {
-  if (pieces.length <= shares.size * comfortableRanges) return []
+  const excess = pieces.length - shares.size * comfortableRanges
+  if (excess <= 0) return []
+  const most = Math.max(tidyMovesPerRound, Math.ceil(excess * tidiedShare))
   const mean = computeMeanLoad(shares)
   const moves: PlannedMove[] = []
   const byRate = pieces.map((piece, index) => ({ piece, index, rate: piece.rate })).sort((a, b) => a.rate - b.rate)
   const touched = new Set<number>()
   for (const { piece, index, rate } of byRate) {
-    if (moves.length === tidyMovesPerRound) break
+    if (moves.length === most) break
     if (!piece.movable || touched.has(index)) continue
     const share = [pieces[index - 1], pieces[index + 1]]
       .filter(neighbour => neighbour !== undefined && neighbour.movable && neighbour.owner !== piece.owner)
--- a/tests/gatewayPlanner.spec.ts
+++ b/tests/gatewayPlanner.spec.ts
@@ -81,3 +81,16 @@
   const mean = [...load.values()].reduce((sum, value) => sum + value, 0) / 22
   t.true(Math.max(...load.values()) <= mean * 1.3 + 0.01, `${Math.max(...load.values()) / mean}`)
 })
+
+test('far too many ranges become fewer by a quarter of the excess in one round, by cold ranges that go to neighbours', t => {
+  const candidates = Array.from({ length: 20 }, (_, index) => buildCandidate(index))
+  const ranges = Array.from({ length: 256 }, (_, index): KeyRange => {
+    return { from: index * 256, to: index * 256 + 255, owner: candidates[index * 7 % 20]!, fence: index + 1, phase: 'held', previous: undefined }
+  })
+  const moves = planMoves(buildInput(ranges, candidates, new Map(Array.from({ length: 40 }, (_, index) => [index * 256, 3]))))
+  t.true(moves.length >= (256 - 60) / 4, `${moves.length} moves`)
+  for (const move of moves) {
+    const index = ranges.findIndex(range => range.from === move.from && range.to === move.to)
+    t.true([ranges[index - 1], ranges[index + 1]].some(range => range?.owner.id === move.owner.id), 'a whole range goes to the owner of a neighbour')
+  }
+})
