--- a/src/core/gateway/grantChanges.ts
+++ b/src/core/gateway/grantChanges.ts
@@ -1,6 +1,7 @@
 import type { Holder, KeyRange } from './model.js'
 import type { PlannedMove } from './planner.js'
-import type { GatewayWork, KeptGrant } from './state.js'
+import type { KeptGrant } from './grantingState.js'
+import type { GatewayWork } from './state.js'
 import { isLost } from './holders.js'
 import { joinsPerRound, longestHoldMs, renewalMs } from './limits.js'
 import { isWritten } from './placementWriting.js'
--- a/src/core/gateway/grantSearch.ts
+++ b/src/core/gateway/grantSearch.ts
@@ -1,4 +1,4 @@
-import type { Granting, KeptGrant } from './state.js'
+import type { Granting, KeptGrant } from './grantingState.js'
 
 /** What an answer of an owner tells of the range that it is about. Parts of a range that was divided bear the same fencing token. */
 type AnsweredRange = { service: string, from: number, to: number, fence: number }
--- a/src/core/gateway/grantSteps.ts
+++ b/src/core/gateway/grantSteps.ts
@@ -1,6 +1,7 @@
 import type { GatewayEvent } from './events.js'
 import type { Holder } from './model.js'
-import type { GatewayWork, KeptGrant } from './state.js'
+import type { KeptGrant } from './grantingState.js'
+import type { GatewayWork } from './state.js'
 import { computeAskAgainMs, noteAnswerTime } from './answerTimes.js'
 import { buildGrantEffect, isReborn, retryMs } from './grantCalls.js'
 import { takeFence } from './grantChanges.js'
--- a/src/core/gateway/keyRates.ts
+++ b/src/core/gateway/keyRates.ts
@@ -1,4 +1,4 @@
-import type { DecayingSum, Granting } from './state.js'
+import type { DecayingSum, Granting } from './grantingState.js'
 import { firstCountMs, leastCounted, rateMemoryMs, reportMs, suddenCount, suddenMemoryMs } from './limits.js'
 
 /** Decayed count below which a key is forgotten. */
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -6,7 +6,7 @@
 import { sendFarewell } from './loadExchange.js'
 import { stopRenewing } from './renewing.js'
 import { sendPlacementChange } from './publishing.js'
-import { buildGranting } from './state.js'
+import { buildGranting } from './grantingState.js'
 
 /** Time after which a claim without an answer is given up, in milliseconds: beyond the store's own delays. */
 const claimTimeoutMs = 4000
--- a/src/core/gateway/loadTotals.ts
+++ b/src/core/gateway/loadTotals.ts
@@ -1,4 +1,5 @@
-import type { Granting, GatewayState } from './state.js'
+import type { Granting } from './grantingState.js'
+import type { GatewayState } from './state.js'
 import { keptReportMs } from './limits.js'
 
 /** Takes the requests in flight that a host reported, in place of those that it reported before. */
--- a/src/core/gateway/moves.ts
+++ b/src/core/gateway/moves.ts
@@ -1,6 +1,7 @@
 import type { Holder } from './model.js'
 import type { PlannedMove } from './planner.js'
-import type { GatewayWork, KeptGrant } from './state.js'
+import type { KeptGrant } from './grantingState.js'
+import type { GatewayWork } from './state.js'
 import { advanceGrant, isReleaseOver, updateArrival } from './grantSteps.js'
 import { isGone, isLost } from './holders.js'
 import { moveAnswerMs, movesInProgress } from './limits.js'
--- a/src/core/gateway/placementWriting.ts
+++ b/src/core/gateway/placementWriting.ts
@@ -1,6 +1,7 @@
 import type { GatewayEvent } from './events.js'
 import type { KeyRange, Placement, PlacementVersion } from './model.js'
-import type { GatewayWork, KeptGrant } from './state.js'
+import type { KeptGrant } from './grantingState.js'
+import type { GatewayWork } from './state.js'
 import { writeAgainMs } from './limits.js'
 import { applyFleetMemory, buildFleetMemory } from './loadExchange.js'
 import { isLaterVersion, replaceRange } from './placementChange.js'
--- a/src/core/gateway/renewers.ts
+++ b/src/core/gateway/renewers.ts
@@ -1,6 +1,7 @@
 import type { LoadReport } from './events.js'
 import type { RenewerHost } from './renewalState.js'
-import type { GatewayState, GatewayWork, KeptGrant } from './state.js'
+import type { KeptGrant } from './grantingState.js'
+import type { GatewayState, GatewayWork } from './state.js'
 import { computeReportMs, maxRenewedOwners, renewalValidityMs, renewerReports, shortestRenewerSilenceMs, suspectRenewalMs, unrenewedMs, renewalMs } from './limits.js'
 
 /** Lists the owners whose grants a host is asked to renew. */
