--- a/src/core/gateway/grantSteps.ts
+++ b/src/core/gateway/grantSteps.ts
@@ -9,7 +9,7 @@
 import { isPlacing } from './leadership.js'
 import { avoidanceMs, confirmationDelayMs, longestHoldMs, releaseAgainMs, renewalMs, renewalValidityMs, unreachableAfterMs } from './limits.js'
 import { isWritten, sendConfirmation } from './placementWriting.js'
-import { computeRenewAt, mayBeRenewed } from './renewers.js'
+import { computeRenewAt, isStillRenewed } from './renewers.js'
 
 /**
  * Whether a former owner can't hold the keys any more, so that they need not be taken back.
@@ -74,7 +74,7 @@
 export function updateArrival (work: GatewayWork, grant: KeptGrant, wasAway: boolean): void {
   const { previous } = grant.range
   if (previous === undefined || grant.step === 'grant') return
-  if (wasAway || mayBeRenewed(work.state, previous.id, grant)) grant.arrivedBy = work.state.actedAt
+  if (wasAway || isStillRenewed(work.state, previous.id, grant)) grant.arrivedBy = work.state.actedAt
 }
 
 function startGrant (work: GatewayWork, grant: KeptGrant): void {
--- a/src/core/gateway/granting.ts
+++ b/src/core/gateway/granting.ts
@@ -8,7 +8,7 @@
 import { chooseMoves, countMovesLeft, advanceMoves } from './moves.js'
 import { writePlacement } from './placementWriting.js'
 import { planInitial } from './planner.js'
-import { assignRenewers } from './renewers.js'
+import { chooseRenewers } from './renewers.js'
 import { findRange } from './routing.js'
 
 /** Takes up the placement of the store when this host has begun to lead. */
@@ -37,7 +37,7 @@
     writePlacement(work)
   }
   advanceMoves(work)
-  assignRenewers(work)
+  chooseRenewers(work)
   advanceRenewals(work)
 }
 
--- a/src/core/gateway/renewers.ts
+++ b/src/core/gateway/renewers.ts
@@ -59,7 +59,7 @@
 }
 
 /** Whether a host may go on renewing a grant to an owner that is to lose it. */
-export function mayBeRenewed (state: GatewayState, owner: string, grant: KeptGrant): boolean {
+export function isStillRenewed (state: GatewayState, owner: string, grant: KeptGrant): boolean {
   const { granting, now } = state
   for (const renewer of granting.renewers.values()) {
     const toldAt = renewer.owners.has(owner) ? renewer.reportedAt : renewer.told.get(owner)
@@ -72,7 +72,7 @@
 }
 
 /** Chooses who renews the grants of each owner: hosts near it, each a bounded number of owners. */
-export function assignRenewers (work: GatewayWork): void {
+export function chooseRenewers (work: GatewayWork): void {
   const { state } = work
   const { granting, now } = state
   if (now < granting.assignAt) return
