Failing tests: renewals of an earlier lease, answers that overtake reports, one failed call, renewals out of turn

The granting host counts too few of the renewals that other hosts may send (two tests: keys granted while the former owner holds them), calls an owner unreachable after one failed call, and with some 700 ranges to renew itself never reaches the last of its list.

--- /dev/null
+++ b/tests/gatewayRenewalFaults.spec.ts
@@ -0,0 +1,110 @@
+import type { LoadReport } from '../src/core/gateway/events.js'
+import type { GatewayWorld, VirtualHost } from '../spec/gateway/virtualWorld.js'
+import test from 'ava'
+import { scheduleIn } from '../spec/eventQueue.js'
+import { playShopDay } from '../spec/gateway/shopDay.js'
+import { announceBackend } from '../spec/gateway/virtualGateways.js'
+import { post, postLater } from '../spec/gateway/virtualWorld.js'
+import { longestHoldMs } from '../src/core/gateway/limits.js'
+import { buildFleetLoad } from '../src/core/gateway/loadExchange.js'
+import { buildGatewayRules } from '../src/core/gateway/rules.js'
+
+const day = { seed: 3, hosts: 6, shards: 12, plain: 0, lengthMs: 12_000, readsPerSecond: 120, ordersPerSecond: 0, workMs: 60, targetMs: 300, timeoutMs: 1000, rules: buildGatewayRules() }
+const owner = 'shards-1'
+
+function findLeader (world: GatewayWorld): VirtualHost {
+  const leader = world.hosts.find(host => host.isUp && host.state.granting.role === 'leading')
+  if (leader === undefined) throw new Error('no host grants keys')
+  return leader
+}
+
+function findRenewer (world: GatewayWorld): VirtualHost {
+  const renewer = world.hosts.find(host => host.name === findLeader(world).state.granting.renewerOf.get(owner))
+  if (renewer === undefined) throw new Error('no host renews the grants of the owner')
+  return renewer
+}
+
+/** Ends the lease of the granting host, so that it claims the same record again. */
+function endLease (world: GatewayWorld, leader: VirtualHost): void {
+  for (const host of world.hosts) host.isCutFromStore = host !== leader
+  const lease = world.store.leases.get(leader.state.granting.lease)
+  if (lease !== undefined) lease.until = 0
+}
+
+test.failing('keys get no second owner while a host renews them for an earlier lease of the granting host', t => {
+  const reclaim = (world: GatewayWorld) => {
+    const leader = findLeader(world)
+    const registration = world.backends.get(owner)?.registration
+    findRenewer(world).isCutFromHosts = true
+    leader.unreachable.add(owner)
+    endLease(world, leader)
+    if (registration !== undefined) scheduleIn(world.queue, 200, () => announceBackend(world, owner, { ...registration, leaving: true }))
+  }
+  const result = playShopDay({ ...day, faults: [{ at: 2000, run: reclaim }] })
+  t.deepEqual(result.broken, [])
+})
+
+test.failing('an owner is not called unreachable for one failed call after the host that renews its grants has died', t => {
+  const lost: unknown[] = []
+  const killRenewer = (world: GatewayWorld) => {
+    const leader = findLeader(world)
+    findRenewer(world).isUp = false
+    const { interpret } = world
+    let failed = 0
+    world.interpret = (inner, host, effect) => {
+      if (effect.kind === 'log' && effect.event === 'ownerUnreachable') lost.push(effect.fields)
+      if (effect.kind !== 'grant' || host !== leader || effect.backend !== owner || failed > 0) return interpret(inner, host, effect)
+      failed += 1
+      const backend = inner.backends.get(owner)
+      if (backend === undefined) return
+      backend.state = 'refusing'
+      interpret(inner, host, effect)
+      backend.state = 'up'
+    }
+  }
+  playShopDay({ ...day, hosts: 75, shards: 150, lengthMs: 8000, faults: [{ at: 3000, run: killRenewer }] })
+  t.deepEqual(lost, [])
+})
+
+test.failing('all grants are renewed in turn when the granting host has to renew more than it may send', t => {
+  const shards = 700
+  let oldest = 0
+  const look = (world: GatewayWorld) => {
+    const { grants } = findLeader(world).state.granting
+    oldest = Math.max(...grants.map(grant => world.queue.now - grant.confirmedAt))
+  }
+  playShopDay({ ...day, hosts: 2, shards, readsPerSecond: 1, lengthMs: 8000, faults: [{ at: 7000, run: look }] })
+  t.true(oldest < longestHoldMs, `${oldest}`)
+})
+
+test.failing('keys get no second owner when the answer to a host that was silent goes out before its report is reduced', t => {
+  const silence = (world: GatewayWorld) => {
+    const leader = findLeader(world)
+    const renewer = findRenewer(world)
+    const { interpret } = world
+    let isAnswered = false
+    renewer.isCutFromHosts = true
+    renewer.isCutFromStore = true
+    // The ticks of the granting host wait in its lane until the report has come.
+    leader.state.granting.assignAt = Infinity
+    const answerReport = (report: LoadReport) => {
+      isAnswered = true
+      // As the runtime does: the answer is built when the report arrives, and the report is reduced behind the ticks that wait.
+      const load = buildFleetLoad(leader.state, renewer.name)
+      postLater(world, renewer, 4, { kind: 'fleet-load-read', now: 0, load, reported: new Map(), reportedAt: world.queue.now })
+      leader.state.granting.assignAt = 0
+      post(world, leader, { kind: 'tick', now: 0, wall: world.queue.now + 1_000_000 })
+      post(world, leader, { kind: 'load-reported', now: 0, report })
+      const registration = world.backends.get(owner)?.registration
+      leader.unreachable.add(owner)
+      if (registration !== undefined) announceBackend(world, owner, { ...registration, leaving: true })
+    }
+    const silentFrom = world.queue.now
+    world.interpret = (inner, host, effect) => {
+      if (effect.kind === 'report-load' && host === renewer && !isAnswered && world.queue.now - silentFrom > 1100) return answerReport(effect.report)
+      interpret(inner, host, effect)
+    }
+  }
+  const result = playShopDay({ ...day, faults: [{ at: 2000, run: silence }] })
+  t.deepEqual(result.broken, [])
+})
