--- a/measure/grantingSlopes.ts
+++ b/measure/grantingSlopes.ts
@@ -62,7 +62,7 @@
   for (let index = 0; index < fleet.owners; index++) post({ kind: 'backend-read', now: 0, backend: { ...buildHolder(index), service: 's', zone: 'z', slots: 4, leaving: false, slowForMs: 0 } })
   const ranges = buildRanges(fleet)
   post({ kind: 'placement-read', now: 0, placement: { nextFence: ranges.length + 1, services: new Map([['s', ranges]]), memory: { hosts: fleet.hosts, serviceMs: new Map() } }, revision: 9 })
-  Object.assign(state, { storeSynced: true, storeUp: true, wall: start, now: start, syncStartedAt: start })
+  Object.assign(state, { storeSynced: true, storeUp: true, wall: start, now: start, actedAt: start, laneNow: { callers: start, control: start }, syncStartedAt: start })
   Object.assign(state.granting, { role: 'leading', ledSince: -start, confirmedAt: start, renewAt: Infinity })
   post({ kind: 'tick', now: start, wall: start })
   for (const grant of state.granting.grants) Object.assign(grant, { step: 'keep', confirmedAt: start, nextAt: Infinity })
@@ -119,10 +119,12 @@
 /** Counts what a granting host sends in a second, calm or while a third of the owners is lost and comes back. */
 function measureMessages (hosts: number, owners: number, losses: number): Row {
   const counts = new Map<string, number>()
+  let grantsOfGrantingHost = 0
   const watch = (world: GatewayWorld) => {
     const { interpret } = world
     world.interpret = (inWorld, host, effect) => {
       if (inWorld.queue.now < leadMs + 8000) counts.set(effect.kind, (counts.get(effect.kind) ?? 0) + 1)
+      if (inWorld.queue.now < leadMs + 8000 && effect.kind === 'grant' && host.state.granting.role === 'leading') grantsOfGrantingHost += 1
       interpret(inWorld, host, effect)
     }
   }
@@ -134,5 +136,5 @@
   const day: ShopDay = { seed: 1, hosts, shards: owners, plain: 0, lengthMs: 8000, readsPerSecond: 1000, ordersPerSecond: 0, workMs: 75, targetMs: 250, timeoutMs: 1000, rules, faults: [{ at: 3000, run: watch }, { at: 3000, run: lose }] }
   const { moves } = playShopDay(day)
   const perSecond = (kind: GatewayEffect['kind']) => Math.round((counts.get(kind) ?? 0) / 5)
-  return { slope: 'messages a second in the emulator', hosts, owners, lostOwners: losses * Math.ceil(owners / 3), moves, grants: perSecond('grant'), releases: perSecond('release'), changesToHosts: perSecond('publish-placement') * (hosts - 1), reports: perSecond('report-load') }
+  return { slope: 'messages a second in the emulator', hosts, owners, lostOwners: losses * Math.ceil(owners / 3), moves, grants: perSecond('grant'), grantsOfGrantingHost: Math.round(grantsOfGrantingHost / 5), releases: perSecond('release'), changesToHosts: perSecond('publish-placement') * (hosts - 1), reports: perSecond('report-load') }
 }
