How late changes of the store come into force is measured on every host

Each host now keeps the time up to which it knows all that the store had acknowledged: the begin of the last answered call, or the report that the granting host answered less the age of what that one knows. A standstill of the process is read off both clocks. The lag of a configuration, of a leaving and of a gone backend server counts from there, so that it is never too small. No decision uses any of it yet.

--- a/src/bin/fulmarctl.ts
+++ b/src/bin/fulmarctl.ts
@@ -6,6 +6,7 @@
   applyCommand, checkDocument, showDifference, startDrainOf, showKeyEverywhere, showDocument, showStatus, waitCommand
 } from '../operator/commands.js'
 import { explainRequest } from '../operator/explainRequest.js'
+import { showChangeLags } from '../operator/showChangeLags.js'
 import { showGateways } from '../operator/showGateways.js'
 import { operatorSettingsSchema } from '../protocol/settings.js'
 import { systemClock } from '../runtime/clock.js'
@@ -58,6 +59,9 @@
     .positional('id', { type: 'string', demandOption: true, describe: 'identifier that the caller gave' })
     .option('logs', { type: 'array', string: true, default: ['/dev/stdin'], describe: 'log files of any number of hosts; default standard input' }),
   options => writeResult(explainRequest(options.id, options.logs.map(readText))))
+  .command('change-lags', 'show how late changes came into force, from logs', builder => builder
+    .option('logs', { type: 'array', string: true, default: ['/dev/stdin'], describe: 'log files of any number of hosts; default standard input' }),
+  options => writeResult(showChangeLags(options.logs.map(readText))))
   .command('gateways <addresses..>', 'show what gateways believe: versions, owners, fencing tokens, granting host', builder => builder
     .positional('addresses', { type: 'string', array: true, demandOption: true, describe: 'admin-listen addresses' }),
   async options => {
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -1,5 +1,6 @@
 import type { BackendRegistration } from './model.js'
 import type { Backend, GatewayState, GatewayWork } from './state.js'
+import { noteInForce } from './changeLags.js'
 import { resetReleases } from './holders.js'
 import { assumedServiceMs, lapseGraceMs, maxGoneReports } from './limits.js'
 
@@ -22,7 +23,10 @@
     const leftForMs = Math.round(state.now - (known.leavingSince ?? state.now))
     work.effects.push({ kind: 'log', event: 'backendReturned', fields: { backend: known.id, service: known.service, leftForMs } })
   }
-  if (registration.leaving && !known.leaving) work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: known.id, service: known.service, how: 'leaving' } })
+  if (registration.leaving && !known.leaving) {
+    const lagMs = noteInForce(work, 'leaving', known.id)
+    work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: known.id, service: known.service, how: 'leaving', lagMs } })
+  }
   if (registration.service !== known.service) {
     state.backendsByService.get(known.service)?.delete(known.id)
     addToService(work, registration.service, known.id)
@@ -111,7 +115,7 @@
   const backend = state.backends.get(id)
   if (backend === undefined) return
   const graceEnd = state.now + (toldGraceMs ?? computeLapseGraceMs(state))
-  if (state.now >= graceEnd || backend.leaving) return removeBackend(work, id)
+  if (state.now >= graceEnd || backend.leaving) return removeGone(work, id)
   state.lapsed.set(id, graceEnd)
 }
 
@@ -124,8 +128,14 @@
   }
 }
 
+/** Removes a backend server whose registration has gone without a grace. */
+function removeGone (work: GatewayWork, id: string): void {
+  const lagMs = noteInForce(work, 'gone', id)
+  removeBackend(work, id, lagMs)
+}
+
 /** Forgets a backend server; requests in flight there go on. */
-export function removeBackend (work: GatewayWork, id: string): void {
+export function removeBackend (work: GatewayWork, id: string, lagMs?: number): void {
   const { state } = work
   const backend = state.backends.get(id)
   if (backend === undefined) return
@@ -134,7 +144,7 @@
   state.backendsByService.get(backend.service)?.delete(id)
   dropFromAddress(state, backend)
   work.effects.push({ kind: 'close-backend', backend: id })
-  work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: id, service: backend.service, how: 'gone' } })
+  work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: id, service: backend.service, how: 'gone', lagMs } })
 }
 
 function dropFromAddress (state: GatewayState, { id, address }: Backend): void {
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -1,4 +1,5 @@
 import type { RefusalReason, RetryReason } from '../domain/outcome.js'
+import type { ChangeKind } from './changeLags.js'
 import type { LoadReport } from './events.js'
 import type { CallerLimits, GrantingRecord, Placement, PlacementChange } from './model.js'
 
@@ -22,6 +23,7 @@
   backendDistrusted: 4111,
   backendReturned: 4112,
   backendReportIgnored: 4113,
+  changeLags: 4114,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
@@ -77,4 +79,6 @@
   | { kind: 'count-refusal', reason: RefusalReason, outcome: 'not-run' | 'unknown' }
   | { kind: 'count-retry', reason: RetryReason }
   | { kind: 'observe-answer', service: string, ms: number }
+  /** `ms`: longest time that can have passed between the store's acknowledgement and now, in milliseconds. */
+  | { kind: 'observe-change', change: ChangeKind, ms: number }
   | { kind: 'log', event: GatewayEventName, fields: Record<string, LogValue> }
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -51,6 +51,8 @@
   placement: PlacementVersion
   /** Revision of the store up to which the sender has passed on all changes. */
   storeRevision: number
+  /** Time since which the store may have acknowledged changes that the sender has not passed on, in milliseconds. */
+  storeAgeMs: number
   /** `admitShare` is the share of its requests that an overloaded owner of keys can take, else 1. */
   backends: Array<{ id: string, inFlight: number, serviceMs: number, admitShare: number }>
   /** Owners whose grants the receiver is asked to renew. */
@@ -94,6 +96,8 @@
   | { kind: 'store-synced', now: number, startedAt: number, revision: number }
   /** The granting host has told the store's changes up to `toldRevision`; up to `revision` all are known here, values that it left out included. */
   | { kind: 'changes-told', now: number, toldRevision: number, revision: number }
+  /** All that the store had acknowledged at `asOf` is known here: an answer of the store to a call that began then has been taken. */
+  | { kind: 'store-known', now: number, asOf: number }
   /** `heardAt`: the latest time at which the store is known to have been there. */
   | { kind: 'store-lost', now: number, heardAt: number }
   | { kind: 'leadership-claimed', now: number, outcome: WriteOutcome, lease: number, revision: number }
--- a/src/core/gateway/following.ts
+++ b/src/core/gateway/following.ts
@@ -7,6 +7,7 @@
 import { setPlacement } from './placementWriting.js'
 import { applyPlacementChange, isLaterVersion, isSameVersion } from './placementChange.js'
 import { advanceWaiting } from './placing.js'
+import { keepKnown } from './storeKnowledge.js'
 import { applyRenewals } from './renewing.js'
 
 /** Watches the store only while no granting host passes its changes on: each watch is a call that is paid for. */
@@ -31,8 +32,10 @@
 }
 
 /** Takes a sign of the granting host: whether it is in touch with the store, and how much it has passed on. */
-function applyGrantingSign (work: GatewayWork, load: FleetLoad): void {
+function applyGrantingSign (work: GatewayWork, load: FleetLoad, reportedAt: number): void {
   const { state } = work
+  // The answer was made after the report, so that its age counts from then at the earliest.
+  if (load.storeRevision <= state.storeRevision) keepKnown(state, reportedAt - load.storeAgeMs)
   const isUpToDate = load.storeRevision <= Math.max(state.storeRevision, state.toldRevision)
   if (load.confirmedAgeMs < maxConfirmedAgeMs && isUpToDate) state.toldAt = state.now
   if (isLaterVersion(load.placement, state.placementVersion)) askForPlacement(state)
@@ -64,7 +67,7 @@
 
 /** Takes the answer of the granting host to this host's report. */
 export function handleFleetLoad (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'fleet-load-read' }>): void {
-  applyGrantingSign(work, event.load)
+  applyGrantingSign(work, event.load, event.reportedAt)
   // A host that has missed a change might renew grants of keys that are on their way.
   const isBehind = isLaterVersion(event.load.placement, work.state.placementVersion)
   applyRenewals(work.state, isBehind ? [] : event.load.renewals, event.reportedAt)
--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -81,6 +81,8 @@
   ownCopy: Placement | undefined
   /** Revision of the store up to which the other hosts were told, and when they may be told again. */
   relayedRevision: number
+  /** What this host knew of the store when they were told: all that was acknowledged at this time. */
+  relayedAsOf: number
   relayAt: number
   balanceAt: number
   tidyAt: number
@@ -146,6 +148,7 @@
     publishAt: now,
     ownCopy: undefined,
     relayedRevision: 0,
+    relayedAsOf: -Infinity,
     relayAt: now,
     balanceAt: now,
     tidyAt: now,
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -104,6 +104,7 @@
     published: state.placement === undefined ? undefined : { placement: state.placement, version: state.placementVersion },
     // A stream begins with all that its host does not know.
     relayedRevision: state.storeRevision,
+    relayedAsOf: state.knownAsOf,
     unsettled,
     mayBePreceded,
     predecessorUntil: mayBePreceded ? event.now + unconfirmedLimitMs : event.now
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -164,6 +164,13 @@
 /** Time after the store's return in which lapsed registrations may come back, in milliseconds. */
 export const lapseGraceMs = 2200
 
+/** Difference between the progress of two clocks that shows that the process stood still, in milliseconds: beyond the time between two readings of them. */
+export const clockNoiseMs = 20
+/** Time after a disturbance of its own in which a host's lags are counted apart, in milliseconds: the platform counts it as in touch after 3 s. */
+export const disturbedMs = 3000
+/** Time between two log lines on how late changes came into force, in milliseconds. */
+export const changeLagsMs = 2000
+
 /** Backend servers that have gone whose last report is remembered: more than leave in the seconds by which a write may be late. */
 export const maxGoneReports = 500
 
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -3,9 +3,11 @@
 import type { PlannerInput, Candidate } from './planner.js'
 import type { DecayingSum, KeptGrant } from './grantingState.js'
 import type { Backend, GatewayState, GatewayWork } from './state.js'
+import type { Clocks } from './storeKnowledge.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
 import { computeKeyRates } from './keyRates.js'
 import { addReport, countInFlight } from './loadTotals.js'
+import { computeStoreAgeMs } from './storeKnowledge.js'
 import { listRenewals } from './renewers.js'
 import { listRenewed } from './renewing.js'
 import { findRange } from './routing.js'
@@ -138,8 +140,9 @@
  * Builds what the granting host tells one host of the others' load. A host that has just begun
  * to grant has not heard all others: for those it goes by what its predecessor told it, or by those
  * that it has heard, since hosts that take the missing ones for idle would overrun the backend servers.
+ * `clocks`: those at which it is told, when events may have waited.
  */
-export function buildFleetLoad (state: GatewayState, host: string): FleetLoad {
+export function buildFleetLoad (state: GatewayState, host: string, clocks: Clocks = { now: state.now, wall: state.wall }): FleetLoad {
   const { granting } = state
   const hosts = granting.reports.size
   const expected = state.now - granting.ledSince < allReportedMs ? Math.max(hosts, granting.expectedHosts) : hosts
@@ -152,7 +155,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, renewals: listRenewals(state, host) }
+  return { hosts: expected, backends, confirmedAgeMs: state.now - granting.confirmedAt, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listRenewals(state, host) }
 }
 
 /** Builds what hosts that start later should know. */
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -4,6 +4,7 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { applyAbsence, applyRegistration, endLapsed } from './backends.js'
+import { advanceChangeLags, noteInForce } from './changeLags.js'
 import { chooseGatewayLane } from './eventLane.js'
 import { advanceGranting, advanceWritten } from './granting.js'
 import { applyGrantResult, applyReleaseResult } from './grantSteps.js'
@@ -21,6 +22,7 @@
 import { advancePublishing } from './publishing.js'
 import { advanceRelay } from './relaying.js'
 import { buildRouteIndex } from './routing.js'
+import { ageKnowledge, keepKnown } from './storeKnowledge.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
 /** The reducer of a gateway: every decision on requests, keys and leadership is made here. `actedAt`: when the event is reduced, which may have waited. */
@@ -32,7 +34,10 @@
   state.now = laneNow[lane]
   // Ticks come every few milliseconds, so that a gap before any control event shows a pause.
   if (lane === 'control') checkPause(work, event.now, event.kind === 'tick' ? event.wall : state.wall + event.now - state.now)
-  if (event.kind === 'tick') state.wall = event.wall
+  if (event.kind === 'tick') {
+    ageKnowledge(state, event)
+    state.wall = event.wall
+  }
   laneNow[lane] = Math.max(laneNow[lane], event.now)
   state.now = laneNow[lane]
   state.actedAt = Math.max(state.actedAt, actedAt)
@@ -59,6 +64,7 @@
     case 'last-granting-host-read': return applyLastGrantingHost(work, event)
     case 'store-synced': return applySync(work, event)
     case 'changes-told': return applyToldChanges(work, event)
+    case 'store-known': return keepKnown(work.state, event.asOf)
     case 'store-lost': return applyStoreLoss(work, event)
     case 'leadership-claimed': return applyClaim(work, event)
     case 'lease-renewed': return applyLeaseRenewal(work, event)
@@ -100,6 +106,7 @@
   advanceFollowing(work)
   dropOldFences(work)
   advanceStop(work)
+  advanceChangeLags(work)
 }
 
 function applyConfiguration (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'configuration-read' }>): void {
@@ -111,11 +118,12 @@
     }
     return
   }
+  const lagMs = noteInForce(work, 'configuration', String(configuration.version))
   state.configuration = configuration
   state.configurationRevision = revision
   state.routesByHost = buildRouteIndex(configuration)
   work.effects.push({ kind: 'set-caller-limits', limits: configuration.limits })
-  work.effects.push({ kind: 'log', event: 'configurationInForce', fields: { version: configuration.version, revision, routes: configuration.routes.length } })
+  work.effects.push({ kind: 'log', event: 'configurationInForce', fields: { version: configuration.version, revision, routes: configuration.routes.length, lagMs } })
 }
 
 function applyPlacement (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'placement-read' }>, rules: GatewayRules): void {
@@ -167,6 +175,7 @@
 }
 
 function applyStoreLoss (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'store-lost' }>): void {
+  work.state.disturbedAt = event.now
   if (!work.state.storeUp) return
   work.state.storeUp = false
   work.state.storeLostAt = event.heardAt
--- a/src/core/gateway/relaying.ts
+++ b/src/core/gateway/relaying.ts
@@ -7,6 +7,7 @@
   const { granting } = state
   if (granting.role !== 'leading' || state.storeRevision <= granting.relayedRevision || state.now < granting.relayAt) return
   granting.relayedRevision = state.storeRevision
+  granting.relayedAsOf = state.knownAsOf
   granting.relayAt = state.now + computeRelayMs(state.hosts)
   work.effects.push({ kind: 'relay-changes' })
 }
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -1,11 +1,14 @@
+import type { ChangeLags } from './changeLags.js'
 import type { Granting } from './grantingState.js'
 import type { Lane } from '../lane.js'
 import type { GatewayEffect } from './effects.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, Placement, PlacementVersion } from './model.js'
 import type { Renewing } from './renewalState.js'
 import type { GatewayStop } from './stop.js'
+import type { Clocks } from './storeKnowledge.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { buildChangeLags } from './changeLags.js'
 import { buildGranting } from './grantingState.js'
 import { buildRenewing } from './renewalState.js'
 import { buildStop } from './stop.js'
@@ -109,6 +112,13 @@
   storeRevision: number
   /** Revision up to which the granting host has told them; values that it left out may still be on their way. */
   toldRevision: number
+  /** All that the store had acknowledged at this time is known here; `-Infinity` before the first reading. */
+  knownAsOf: number
+  /** Clocks at the last tick; they differ by more at the next one when the process stood still in between. */
+  clocks: Clocks | undefined
+  /** When this host last missed the store or stood still. */
+  disturbedAt: number
+  changeLags: ChangeLags
   /** When a granting host that the store confirmed last answered a report. */
   toldAt: number
   grantingHost: GrantingHost | undefined
@@ -169,6 +179,10 @@
     storeSource: 'watched',
     storeRevision: 0,
     toldRevision: 0,
+    knownAsOf: -Infinity,
+    clocks: undefined,
+    disturbedAt: -Infinity,
+    changeLags: buildChangeLags(now),
     toldAt: -Infinity,
     grantingHost: undefined,
     reportedTo: undefined,
--- a/src/operator/explainRequest.ts
+++ b/src/operator/explainRequest.ts
@@ -1,11 +1,7 @@
 import type { CommandResult } from './commands.js'
-import * as z from 'zod'
+import type { LogLine } from './logLines.js'
 import { exitCodes } from './commands.js'
-
-/** A log line as any program of fulmarfront writes it; other fields depend on the event. */
-const lineSchema = z.looseObject({ time: z.string(), hostname: z.string().default(''), event: z.number(), msg: z.string() })
-
-type LogLine = z.output<typeof lineSchema>
+import { parseLines } from './logLines.js'
 
 /** Events that change what a host believes; the last of each before a request explains it. */
 const beliefs = new Set(['configurationInForce', 'placementInForce', 'grantingHostChanged', 'storeLost', 'storeRegained', 'storeSourceChanged', 'backendAvoided', 'leadershipDoubted', 'gatewayStopping'])
@@ -40,7 +36,7 @@
 
 /** Tells the story of a request from log lines of any number of hosts. */
 export function explainRequest (requestId: string, texts: readonly string[]): CommandResult {
-  const lines = texts.flatMap(text => text.split('\n')).map(parseLine).filter(line => line !== undefined)
+  const lines = texts.flatMap(parseLines)
   lines.sort((a, b) => a.time < b.time ? -1 : a.time > b.time ? 1 : 0)
   const own = lines.filter(line => line.requestId === requestId)
   const [first] = own
@@ -117,18 +113,6 @@
   return Number.isFinite(moved) ? new Date(moved).toISOString() : time
 }
 
-function parseLine (text: string): LogLine | undefined {
-  const start = text.indexOf('{')
-  if (start < 0) return undefined
-  try {
-    const result = lineSchema.safeParse(JSON.parse(text.slice(start)))
-    return result.success ? result.data : undefined
-  } catch {
-    // Other programs may write to the same file; their lines tell nothing here.
-    return undefined
-  }
-}
-
 /** Lists what a host last learnt of each kind before a moment. */
 function listBeliefs (lines: readonly LogLine[], host: string, before: string): string[] {
   const last = new Map<string, LogLine>()
--- a/src/protocol/fleetUpdate.ts
+++ b/src/protocol/fleetUpdate.ts
@@ -43,6 +43,9 @@
 /** Relative change of a service time that is left out. */
 const ignoredServiceChange = 0.06
 
+/** Greatest age of a sender's knowledge of the store that a view tells, in milliseconds: an hour. */
+const maxStoreAgeMs = 3_600_000
+
 /** Encodes what changed in the fleet's load since the last view on the same stream. */
 export function encodeView (load: FleetLoad, sent: ViewMemory): FleetLoadView {
   const changed: ViewEntry[] = []
@@ -63,6 +66,8 @@
     hosts: load.hosts,
     confirmedAgeMs: Math.round(load.confirmedAgeMs),
     storeRevision: load.storeRevision,
+    // A sender that knows nothing yet is older than all that matters.
+    storeAgeMs: Math.min(maxStoreAgeMs, Math.ceil(load.storeAgeMs)),
     placement: load.placement,
     renewals: load.renewals,
     backends: changed.map(entry => ({
@@ -88,7 +93,7 @@
     if (entry.inFlight === 0 && entry.serviceMs === 0) known.delete(entry.backend)
     else known.set(entry.backend, { id: entry.backend, inFlight: entry.inFlight, serviceMs: entry.serviceMs, admitShare })
   }
-  return { hosts: view.hosts, confirmedAgeMs: view.confirmedAgeMs, storeRevision: view.storeRevision, placement: decodeVersion(view.placement), backends: [...known.values()], renewals: view.renewals }
+  return { hosts: view.hosts, confirmedAgeMs: view.confirmedAgeMs, storeRevision: view.storeRevision, storeAgeMs: view.storeAgeMs, placement: decodeVersion(view.placement), backends: [...known.values()], renewals: view.renewals }
 }
 
 /** Encodes a change of owners. */
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -374,6 +374,8 @@
     | undefined;
   /** Owners whose grants the receiver is asked to renew. */
   renewals: string[];
+  /** Age of the sender's knowledge of the store: it has passed on all that was acknowledged earlier, in milliseconds. */
+  storeAgeMs: number;
 }
 
 /** Requests in flight from other hosts, and the time one takes in a slot. */
@@ -4002,7 +4004,15 @@
 };
 
 function createBaseFleetLoadView(): FleetLoadView {
-  return { hosts: 0, backends: [], confirmedAgeMs: 0, storeRevision: 0, placement: undefined, renewals: [] };
+  return {
+    hosts: 0,
+    backends: [],
+    confirmedAgeMs: 0,
+    storeRevision: 0,
+    placement: undefined,
+    renewals: [],
+    storeAgeMs: 0,
+  };
 }
 
 export const FleetLoadView: MessageFns<FleetLoadView> = {
@@ -4025,6 +4035,9 @@
     for (const v of message.renewals) {
       writer.uint32(50).string(v!);
     }
+    if (message.storeAgeMs !== 0) {
+      writer.uint32(56).uint32(message.storeAgeMs);
+    }
     return writer;
   },
 
@@ -4089,6 +4102,14 @@
             message.renewals.push(reader.string());
             continue;
           }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.storeAgeMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -1,7 +1,9 @@
+import type { ChangeKind } from '../../core/gateway/changeLags.js'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent } from '../../core/gateway/events.js'
 import type { RefusalReason, RetryReason } from '../../core/domain/outcome.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { changeLagBoundsMs } from '../../core/gateway/changeLags.js'
 import { refusalReasons, retryReasons } from '../../core/domain/outcome.js'
 
 /** Bounds of the latency histogram, in milliseconds: fine around the targets of lookups and bookings. */
@@ -10,7 +12,7 @@
 /** Names of a gateway's gauges. */
 export const gatewayGauges = [
   'gateway_requests', 'gateway_caller_connections', 'gateway_stop_phase', 'gateway_store_up', 'gateway_granting', 'gateway_configuration_version', 'gateway_placement_revision',
-  'gateway_store_revision', 'gateway_told', 'gateway_events_waiting'
+  'gateway_store_revision', 'gateway_store_age_ms', 'gateway_told', 'gateway_events_waiting'
 ] as const
 /** Name of a gateway's gauge. */
 export type GatewayGauge = typeof gatewayGauges[number]
@@ -30,6 +32,7 @@
   countWork: (part: WorkPart, kind: WorkKind, ms: number) => void
   countLost: (kind: GatewayEvent['kind']) => void
   observeAnswer: (service: string, ms: number) => void
+  observeChange: (change: ChangeKind, ms: number) => void
 }
 
 /** Builds the metrics of a gateway; every reason is present from the start. */
@@ -54,6 +57,13 @@
     buckets: latencyBoundsMs,
     registers
   })
+  const changes = new Histogram({
+    name: 'fulmar_gateway_change_lag_ms',
+    help: 'Longest time that can have passed from the acknowledgement of a change by the store until it was in force, by kind, in milliseconds',
+    labelNames: ['change'],
+    buckets: [...changeLagBoundsMs],
+    registers
+  })
   for (const reason of refusalReasons) refusals.inc({ reason, outcome: 'not-run' }, 0)
   for (const reason of retryReasons) retries.inc({ reason }, 0)
   return {
@@ -65,6 +75,7 @@
     countWork: (part, kind, ms) => work[part](kind, ms),
     countLost: kind => lost.inc({ kind }),
     countLeftOut: event => leftOut.inc({ event }),
+    observeChange: (change, ms) => changes.observe({ change }, ms),
     observeAnswer: (service, ms) => answers.observe({ service }, ms)
   }
 }
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -84,6 +84,7 @@
       gateway_configuration_version: now.configuration?.version ?? 0,
       gateway_placement_revision: now.placementVersion.revision,
       gateway_store_revision: now.storeRevision,
+      gateway_store_age_ms: now.knownAsOf === -Infinity ? 0 : Math.round(clock.now() - now.knownAsOf),
       gateway_told: now.storeSource === 'told' ? 1 : 0,
       gateway_events_waiting: program.countWaiting()
     }
@@ -105,7 +106,11 @@
     timers,
     post,
     log,
-    buildView: host => program.getState().granting.role === 'leading' ? buildFleetLoad(program.getState(), host) : undefined,
+    buildView: host => {
+      const current = program.getState()
+      if (current.granting.role !== 'leading') return undefined
+      return buildFleetLoad(current, host, { now: clock.now(), wall: clock.wall() })
+    },
     listChangesSince: revision => {
       const changes = follower.listChangesSince(revision)
       return changes === undefined ? undefined : { ...changes, graceMs: computeLapseGraceMs(program.getState()) }
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -63,6 +63,7 @@
     case 'count-refusal': return parts.metrics.countRefusal(effect.reason, effect.outcome)
     case 'count-retry': return parts.metrics.countRetry(effect.reason)
     case 'observe-answer': return parts.metrics.observeAnswer(effect.service, effect.ms)
+    case 'observe-change': return parts.metrics.observeChange(effect.change, effect.ms)
     case 'log': return parts.log(gatewayEventNumbers[effect.event], effect.event, effect.fields)
   }
 }
--- a/src/runtime/gateway/storeFollower.ts
+++ b/src/runtime/gateway/storeFollower.ts
@@ -64,6 +64,7 @@
   const postSynced = (startedAt: number) => {
     parts.post({ kind: 'store-synced', now: timers.clock.now(), startedAt, revision: view.revision ?? 0 })
   }
+  const postKnown = (asOf: number) => { parts.post({ kind: 'store-known', now: timers.clock.now(), asOf }) }
   const noteFailure = (call: 'read' | 'watch', startedAt: number, failure: StoreFailure) => {
     const now = timers.clock.now()
     parts.post({ kind: 'store-lost', now, heardAt: failure.isCut ? now : startedAt })
@@ -82,9 +83,11 @@
     for (const item of read.items) take(item, undefined)
     for (const change of listAbsent(view, read.items.map(item => item.key), read.revision)) take(change, undefined)
     // A reading beside a watch leaves the watch's place: the watch tells what came and went in between.
-    if (hasGap) setReadRevision(view, read.revision)
+    const isWhole = hasGap
+    if (isWhole) setReadRevision(view, read.revision)
     hasGap = false
     postSynced(startedAt)
+    if (isWhole) postKnown(startedAt)
     return 'gather'
   }
   const watchOnce = async (from: number): Promise<Turn> => {
@@ -105,6 +108,7 @@
         for (const change of watched.changes) take(change, undefined)
         view.revision = Math.max(view.revision ?? from, watched.revision)
         postSynced(-Infinity)
+        postKnown(startedAt)
         return watched.changes.length > 0 ? 'gather' : 'go-on'
     }
   }
