A leaving owner of keys gets requests for half of its time, counted from when it may have left

Cause: the time counted from when the host learnt of the leaving. Evidence: gatewayRegistrations, marked failing before, now with 1,050 ms instead of 2,050.

--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -2,7 +2,7 @@
 import type { Backend, GatewayState, GatewayWork } from './state.js'
 import { noteInForce } from './changeLags.js'
 import { resetReleases } from './holders.js'
-import { assumedServiceMs, lapseGraceMs, maxGoneReports } from './limits.js'
+import { assumedServiceMs, defaultDrainMs, lapseGraceMs, maxGoneReports, usedDrainShare } from './limits.js'
 
 /** Takes what a backend server says of itself; a new life of it starts from nothing. */
 export function applyRegistration (work: GatewayWork, registration: BackendRegistration): void {
@@ -33,7 +33,17 @@
   }
   Object.assign(known, registration)
   state.lapsed.delete(known.id)
-  known.leavingSince = registration.leaving ? known.leavingSince ?? state.now : undefined
+  known.leavingSince = registration.leaving ? known.leavingSince ?? computeEarliestLeaving(state) : undefined
+}
+
+/** Computes since when a backend server may have been leaving that this host learns of now: it was not when the store was last heard. */
+function computeEarliestLeaving (state: GatewayState): number {
+  return state.knownAsOf === -Infinity ? state.now : Math.min(state.now, state.knownAsOf)
+}
+
+/** Computes until when a leaving owner of keys is sent requests for them. */
+export function computeLastSending (state: GatewayState, leavingSince: number): number {
+  return leavingSince + (state.identity.drainMs ?? defaultDrainMs) * usedDrainShare
 }
 
 /** Whether the same backend server has said something later: a write of the store may be carried out seconds after newer ones. */
@@ -60,7 +70,7 @@
   const backend: Backend = {
     ...registration,
     slowUntil: state.now + registration.slowForMs,
-    leavingSince: registration.leaving ? state.now : undefined,
+    leavingSince: registration.leaving ? computeEarliestLeaving(state) : undefined,
     inFlight: 0,
     othersInFlight: 0,
     lastRefused: new Map(),
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -109,8 +109,10 @@
 
 /** Longest time a request waits for its key's owner to change, in milliseconds. */
 export const ownerWaitMs = 400
-/** Time a leaving owner is still sent requests for its keys, in milliseconds: below the platform's 2 s. */
-export const leavingOwnerMs = 1200
+/** Time for which a leaving backend server goes on serving, in milliseconds, unless the settings say otherwise. */
+export const defaultDrainMs = 2000
+/** Part of that time in which a leaving owner is still sent requests for its keys; the rest is for requests on their way. */
+export const usedDrainShare = 0.5
 /** Time without word from the granting host after which its load figures are ignored, in milliseconds. */
 export const loadMaxAgeMs = 2500
 /** Shortest time between two load reports, in milliseconds. */
--- a/src/core/gateway/placing.ts
+++ b/src/core/gateway/placing.ts
@@ -5,7 +5,8 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { estimateInFlight, estimateWaitMs, noteShortage } from './admission.js'
 import { hastenReport } from './loadExchange.js'
-import { leavingOwnerMs, ownerWaitMs } from './limits.js'
+import { computeLastSending } from './backends.js'
+import { ownerWaitMs } from './limits.js'
 import { refuseRequest, refuseUnplaced } from './refusals.js'
 import { addRetryShare } from './retryBudget.js'
 import { chooseService, findRange, findRoute } from './routing.js'
@@ -109,7 +110,7 @@
 function findOwner (work: GatewayWork, id: string, startedAt: number): Backend | undefined {
   const owner = work.state.backends.get(id)
   if (owner === undefined || owner.startedAt !== startedAt) return undefined
-  if (owner.leavingSince !== undefined && work.state.now - owner.leavingSince > leavingOwnerMs) return undefined
+  if (owner.leavingSince !== undefined && work.state.now > computeLastSending(work.state, owner.leavingSince)) return undefined
   return owner
 }
 
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -13,8 +13,8 @@
 import { buildRenewing } from './renewalState.js'
 import { buildStop } from './stop.js'
 
-/** Who this host is; `processorShare` in cores. */
-export type GatewayIdentity = { host: string, zone: string, region: string, regionOf: Map<string, string>, address: string, processorShare: number }
+/** Who this host is, and what it goes by; `processorShare` in cores, `drainMs`: time for which a leaving backend server goes on serving, in milliseconds. */
+export type GatewayIdentity = { host: string, zone: string, region: string, regionOf: Map<string, string>, address: string, processorShare: number, drainMs?: number }
 
 /** A request of a caller, from its arrival to its answer. */
 export type GatewayRequest = {
@@ -45,7 +45,7 @@
 /** What this host believes of one backend server. */
 export type Backend = BackendRegistration & {
   slowUntil: number
-  /** When this host learnt that it leaves. */
+  /** Since when it may have been leaving, at the earliest. */
   leavingSince: number | undefined
   inFlight: number
   /** Requests in flight from other hosts, at the last exchange. */
--- a/src/protocol/gatewaySettings.ts
+++ b/src/protocol/gatewaySettings.ts
@@ -17,7 +17,8 @@
     'peer-listen': addressField('Where other hosts connect'),
     'admin-listen': addressField('Where operators and metrics connect'),
     'processor-share': buildNumberField(0.01, 1024, 'Cores that this process may use; small hosts leave granting to larger ones').default(1),
-    'grace-ms': buildNumberField(1000, longestGraceMs, 'Time from the signal to stop to the end of the process, in milliseconds').default(6000)
+    'grace-ms': buildNumberField(1000, longestGraceMs, 'Time from the signal to stop to the end of the process, in milliseconds').default(6000),
+    'drain-s': buildNumberField(0.1, 3600, 'Time for which a backend server goes on serving after it said that it leaves, in seconds').default(2)
   }),
   store: storeSchema,
   regions: z.record(z.string(), nameField('Region of each availability zone')),
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -69,7 +69,8 @@
     region: gateway.region,
     regionOf: new Map(Object.entries(settings.regions)),
     address: gateway['peer-listen'],
-    processorShare: gateway['processor-share']
+    processorShare: gateway['processor-share'],
+    drainMs: gateway['drain-s'] * 1000
   }
   const state = buildGatewayState(identity, randomBytes(4).readInt32LE(), clock.now())
   const post = (event: GatewayEvent): boolean => program.post(event)
--- a/tests/gatewayRegistrations.spec.ts
+++ b/tests/gatewayRegistrations.spec.ts
@@ -72,8 +72,7 @@
   t.is(apply(present, [{ kind: 'backend-read', now: 5100, backend: { ...registration, report: 8 } }]).backends.get(registration.id)?.startedAt, 2000)
 })
 
-// KNOWN-RED.txt: the time for which a leaving owner still gets requests counts from when this host heard of it.
-test.failing('an owner that leaves gets no request 2 s later from a host that heard of it late', t => {
+test('an owner that leaves gets no request later than half of its 2 s from a host that heard of it late', t => {
   const route = { name: 'reads', host: 'shop.test', pathPrefix: '/', targets: [{ service: 'bookings', weight: 1 }], idempotent: true, timeoutMs: 1000, targetMs: 250, maxAttempts: 2, priority: 0 }
   const limits = { maxHeaderBytes: 1e4, maxBodyBytes: 1e6, headerTimeoutMs: 1e3, idleTimeoutMs: 1e4 }
   const configuration = { version: 1, routes: [route], services: new Map([['bookings', { name: 'bookings', sharded: true, warmupMs: 0 }]]), limits }
@@ -87,9 +86,9 @@
     { kind: 'fleet-load-read', now: lastSignAt, load: { hosts: 12, storeAgeMs: 0, placement: version, storeRevision: 1, backends: [], renewals: [] }, reported: new Map(), reportedAt: lastSignAt },
     { kind: 'tick', now: lastSignAt + 800, wall: lastSignAt + 800 },
     { kind: 'backend-read', now: lastSignAt + 900, backend: { ...registration, leaving: true, report: 9 } },
-    { kind: 'tick', now: lastSignAt + 1600, wall: lastSignAt + 1600 }
+    { kind: 'tick', now: lastSignAt + 1000, wall: lastSignAt + 1000 }
   ])
   const head = { requestId: 'a', host: 'shop.test', path: '/', key: 7, timeoutMs: 1000, bodyBytes: 0, replayable: true }
-  const { effects } = reduceGateway(state, { kind: 'request-arrived', now: lastSignAt + 2050, id: '1', head }, rules)
+  const { effects } = reduceGateway(state, { kind: 'request-arrived', now: lastSignAt + 1050, id: '1', head }, rules)
   t.deepEqual(effects.filter(effect => effect.kind === 'send'), [])
 })
--- a/tests/support/platform/platformFleet.ts
+++ b/tests/support/platform/platformFleet.ts
@@ -75,7 +75,8 @@
         'peer-listen': `127.0.0.1:${await findPort()}`,
         'admin-listen': '127.0.0.1:0',
         'processor-share': 1,
-        'grace-ms': 4000
+        'grace-ms': 4000,
+        'drain-s': 2
       },
       store: { address: store.address },
       regions: { 'zone-1': 'region-1' },
