A request that waits for a connection is not sent to a backend server that has left meanwhile

Cause: the choice was not looked at again once it was made. When a host learns that a backend server leaves, requests to it that have no connection yet are given up at once (owners of keys: when their time is up) and placed anew. Evidence: leavingOpenings, two tests; on the code before, four of four requests arrived at a backend server that had left, now the two that had a connection.

--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -46,7 +46,7 @@
   if (sending === undefined) return
   const { request, backend } = sending
   if (backend !== undefined) noteFailure(work, backend, event.failure)
-  if (event.failure === 'connection-refused' || event.failure === 'connect-failed') {
+  if (isUnsent(event.failure)) {
     return retryOrRefuse(work, request, 'backend-unreachable', 'backend-unreachable', rules)
   }
   request.mayHaveRun = true
@@ -62,6 +62,10 @@
   if (backend !== undefined) setDistrust(work, backend, 'stray-bytes')
 }
 
+function isUnsent (failure: SendFailure): boolean {
+  return failure === 'connection-refused' || failure === 'connect-failed' || failure === 'left-unsent'
+}
+
 function isRubbish (failure: SendFailure): boolean {
   return failure === 'wrong-request' || failure === 'malformed' || failure === 'unending'
 }
@@ -78,7 +82,7 @@
 function noteFailure (work: GatewayWork, backend: Backend, failure: SendFailure): void {
   const { now } = work.state
   if (isRubbish(failure)) return setDistrust(work, backend, failure)
-  if (failure === 'broken-after-send') return
+  if (failure === 'broken-after-send' || failure === 'left-unsent') return
   backend.avoidUntil = Math.max(backend.avoidUntil, now + unreachableAvoidanceMs)
   work.effects.push({ kind: 'log', event: 'backendAvoided', fields: { backend: backend.id, failure, forMs: unreachableAvoidanceMs } })
 }
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -25,6 +25,7 @@
   }
   if (registration.leaving && !known.leaving) {
     const lagMs = noteInForce(work, 'leaving', known.id)
+    boundOpening(work, known.id, known.service)
     work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: known.id, service: known.service, how: 'leaving', lagMs } })
   }
   if (registration.service !== known.service) {
@@ -46,6 +47,14 @@
   return leavingSince + (state.identity.drainMs ?? defaultDrainMs) * usedDrainShare
 }
 
+/** Keeps requests that wait for a connection from reaching a backend server that leaves; its keys may have no other owner yet. */
+function boundOpening (work: GatewayWork, id: string, service: string): void {
+  const { state } = work
+  const isOwner = state.configuration?.services.get(service)?.sharded === true
+  const withinMs = isOwner ? Math.max(0, computeLastSending(state, computeEarliestLeaving(state)) - state.now) : 0
+  work.effects.push({ kind: 'bound-opening', backend: id, withinMs })
+}
+
 /** Whether the same backend server has said something later: a write of the store may be carried out seconds after newer ones. */
 function isOutdated (state: GatewayState, { id, startedAt, report }: BackendRegistration): boolean {
   const latest = state.latestReports.get(id)
@@ -154,6 +163,7 @@
   state.backendsByService.get(backend.service)?.delete(id)
   dropFromAddress(state, backend)
   work.effects.push({ kind: 'close-backend', backend: id })
+  work.effects.push({ kind: 'bound-opening', backend: id, withinMs: 0 })
   work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: id, service: backend.service, how: 'gone', lagMs } })
 }
 
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -52,6 +52,8 @@
   | { kind: 'deliver', id: string, attempt: number }
   | { kind: 'refuse', id: string, reason: RefusalReason, status: number, retryAfterMs: number | undefined }
   | { kind: 'close-backend', backend: string }
+  /** Requests for which no connection is open after this time are not sent to the backend server, in milliseconds. */
+  | { kind: 'bound-opening', backend: string, withinMs: number }
   /** `lastRevision`: revision of the record of the host that granted last, 0 when there is none; the claim fails if it has changed. */
   | { kind: 'claim-leadership', ttlMs: number, record: GrantingRecord, lastRevision: number }
   /** Writes that all earlier granting hosts have stopped. */
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -4,6 +4,8 @@
 export type SendFailure =
   | 'connection-refused'
   | 'connect-failed'
+  /** The backend server left before a connection for the request was open. */
+  | 'left-unsent'
   | 'broken-after-send'
   | 'malformed'
   | 'unending'
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -24,6 +24,9 @@
 
 type SendEffect = Extract<GatewayEffect, { kind: 'send' }>
 
+/** Requests that wait for a connection, by backend server: each can be given up sooner. */
+type Openings = Map<string, Set<(withinMs: number) => void>>
+
 /** What the sender needs. */
 export type BackendSenderOptions = { wire: GatewayWire, timers: TimerService, post: (event: GatewayEvent) => boolean }
 
@@ -31,12 +34,15 @@
 export type BackendSender = {
   send: (exchange: GatewayExchange, effect: SendEffect) => void
   closeBackend: (backend: string) => void
+  /** Gives up the requests to a backend server for which no connection is open after a time, in milliseconds. */
+  boundOpening: (backend: string, withinMs: number) => void
   close: () => void
 }
 
 /** Creates the sender; connections are kept for each backend server. */
 export function createBackendSender (options: BackendSenderOptions): BackendSender {
   const connections = new Map<string, BackendConnections>()
+  const openings: Openings = new Map()
   const find = (effect: SendEffect): BackendConnections => {
     const name = `${effect.backend}@${effect.address}`
     const known = connections.get(name) ?? createBackendConnections(options.timers.clock, () => postStray(effect.backend, options))
@@ -49,7 +55,7 @@
       if (!effect.mayReuse) pool.setSingleUse(options.timers.clock.now() + singleUseMs)
       pool.setLimit(effect.maxConnections)
       pool.dropIdle(effect.maxIdleMs)
-      sendRequest(exchange, effect, pool, options)
+      sendRequest(exchange, effect, pool, openings, options)
     },
     closeBackend: backend => {
       for (const [name, pool] of connections) {
@@ -58,6 +64,9 @@
         pool.setSingleUse(options.timers.clock.now() + singleUseMs)
       }
     },
+    boundOpening: (backend, withinMs) => {
+      for (const bound of openings.get(backend) ?? []) bound(withinMs)
+    },
     close: () => {
       for (const pool of connections.values()) {
         pool.agent.destroy()
@@ -67,7 +76,7 @@
   }
 }
 
-function sendRequest (exchange: GatewayExchange, effect: SendEffect, pool: BackendConnections, options: BackendSenderOptions): void {
+function sendRequest (exchange: GatewayExchange, effect: SendEffect, pool: BackendConnections, openings: Openings, options: BackendSenderOptions): void {
   const { timers, wire } = options
   let ended = false
   let connected = false
@@ -114,11 +123,22 @@
     }
   }
   exchange.sending = sending
-  const stopConnectTimer = timers.schedule(Math.min(connectTimeoutMs, effect.timeoutMs), () => {
+  const giveUpIn = (ms: number, failure: SendFailure) => timers.schedule(ms, () => {
     if (connected) return
-    fail('connect-failed')
+    fail(failure)
     request.destroy()
   })
+  const stopTimeout = giveUpIn(Math.min(connectTimeoutMs, effect.timeoutMs), 'connect-failed')
+  let stopBound = () => {}
+  const dropOpening = addOpening(openings, effect.backend, withinMs => {
+    stopBound()
+    stopBound = giveUpIn(withinMs, 'left-unsent')
+  })
+  const stopConnectTimer = () => {
+    stopTimeout()
+    stopBound()
+    dropOpening()
+  }
   request.on('socket', socket => {
     const onConnect = () => {
       connected = true
@@ -155,6 +175,16 @@
   })
 }
 
+/** Keeps a request that waits for a connection; returns what forgets it. */
+function addOpening (openings: Openings, backend: string, bound: (withinMs: number) => void): () => void {
+  const known = openings.get(backend) ?? new Set()
+  openings.set(backend, known.add(bound))
+  return () => {
+    known.delete(bound)
+    if (known.size === 0 && openings.get(backend) === known) openings.delete(backend)
+  }
+}
+
 function postStray (backend: string, options: BackendSenderOptions): void {
   options.post({ kind: 'stray-bytes-read', now: options.timers.clock.now(), backend })
 }
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -43,6 +43,7 @@
     case 'deliver': return runForExchange(parts, effect.id, exchange => parts.front.deliver(exchange))
     case 'refuse': return runForExchange(parts, effect.id, exchange => parts.front.refuse(exchange, effect))
     case 'close-backend': return parts.sender.closeBackend(effect.backend)
+    case 'bound-opening': return parts.sender.boundOpening(effect.backend, effect.withinMs)
     case 'claim-leadership': return runDetached(claimLeadership(effect, parts))
     case 'settle-granting': return runDetached(writeSettled(effect.leaderRevision, parts))
     case 'renew-lease': return runDetached(renewLease(effect.lease, parts))
