--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -127,6 +127,8 @@
 export const maxReportMs = 1000
 /** Age of what a host was told that is usual beside the time between two reports, in milliseconds: two waits of a watch, and the round trips of both. */
 export const usualToldAgeMs = 550
+/** Longest time for which a host relies on what it was told, in milliseconds: half of the 3 s in which large fleets have to know a change, less 200 ms to catch up. */
+export const longestTrustedMs = 1300
 /** Messages a second that the granting host sends at most to tell all others of changes of owners: some percent of a core. */
 export const changeMessagesPerSecond = 1500
 /** Shortest time between two changes of owners that are told, in milliseconds. */
@@ -194,7 +196,7 @@
 
 /** Computes for how long a host relies on what the granting host knew of the store, in milliseconds; then it watches the store itself. */
 export function computeTrustedMs (hosts: number): number {
-  return computeReportMs(hosts) + usualToldAgeMs
+  return Math.min(longestTrustedMs, computeReportMs(hosts) + usualToldAgeMs)
 }
 
 /** Computes the time between two watches of a host after changes, in milliseconds: longer in larger fleets, all of whose hosts may watch at once. */
