--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -119,7 +119,7 @@
   /** When this host last missed the store or stood still. */
   disturbedAt: number
   changeLags: ChangeLags
-  /** The same for what the granting host has told, values included that it left out and that are being read; `-Infinity` without an exchange. */
+  /** Up to when the granting host has told all that the store had acknowledged, values included that it left out and that are being read; `-Infinity` without an exchange. */
   toldAsOf: number
   grantingHost: GrantingHost | undefined
   /** Address of the granting host that this host reported to last. */
