--- a/spec/virtualFaults.ts
+++ b/spec/virtualFaults.ts
@@ -2,7 +2,7 @@
 import { buildBackendState } from '../src/standins/backendReducer.js'
 import { postBackend, postRouter, refuseForward, resumeRouter, schedule } from './virtualFleet.js'
 
-/** Kills a router without a graceful stop. */
+/** Kills a router without a graceful shutdown. */
 export function killRouter (fleet: VirtualFleet, name: string): void {
   const router = fleet.routers.get(name)
   if (router === undefined || !router.isAlive) return
@@ -16,7 +16,7 @@
   for (const record of fleet.dispatches.values()) if (record.router === name) record.isOpen = false
 }
 
-/** Kills a backend server without a graceful stop. */
+/** Kills a backend server without a graceful shutdown. */
 export function killBackend (fleet: VirtualFleet, name: string): void {
   const backend = fleet.backends.get(name)
   if (backend === undefined || !backend.isAlive) return
--- a/src/bin/fulmarController.ts
+++ b/src/bin/fulmarController.ts
@@ -6,7 +6,7 @@
 import { loadHashKey } from '../runtime/hashKey.js'
 import { createLog } from '../runtime/log.js'
 import { endProcess, handleSignals, usageExitCode } from './processSetup.js'
-import { loadDaemonSetup } from './runBinary.js'
+import { loadDaemonSetup } from './daemonSetup.js'
 
 const usage = 'Assigns keys to backend servers, and backend servers to the routers that hold them.'
 const { settings, timers } = await loadDaemonSetup('fulmar-controller', usage, controllerSettingsSchema)
--- a/src/bin/fulmarRouter.ts
+++ b/src/bin/fulmarRouter.ts
@@ -6,7 +6,7 @@
 import { createLog } from '../runtime/log.js'
 import { startRouter } from '../runtime/routerProgram.js'
 import { endProcess, handleSignals, usageExitCode } from './processSetup.js'
-import { loadDaemonSetup } from './runBinary.js'
+import { loadDaemonSetup } from './daemonSetup.js'
 
 const usage = 'Routes callers\' requests to the backend servers that own their keys.'
 const { settings, timers } = await loadDaemonSetup('fulmar-router', usage, routerSettingsSchema)
--- a/src/bin/fulmarStandin.ts
+++ b/src/bin/fulmarStandin.ts
@@ -7,7 +7,7 @@
 import { startHostListStandin } from '../standins/hostListStandin.js'
 import { startStoreStandin } from '../standins/storeStandin.js'
 import { endProcess, handleSignals } from './processSetup.js'
-import { loadDaemonSetup } from './runBinary.js'
+import { loadDaemonSetup } from './daemonSetup.js'
 
 const usage = 'Simulates the platform\'s store and host list and backend servers, with fault injection; for trials and tests.'
 const { settings, timers } = await loadDaemonSetup('fulmar-standin', usage, standinSettingsSchema)
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -1,8 +1,8 @@
 import type { BackendRegistration } from './model.js'
 import type { Backend, GatewayState, GatewayWork } from './state.js'
 import { recordChangeLag } from './changeLags.js'
-import { resetReleaseBackoff } from './holders.js'
-import { computeKnownAsOf } from './storeKnowledge.js'
+import { resetReleaseBackoff } from './ownerAvailability.js'
+import { computeKnownAsOf } from './storeFreshness.js'
 import { assumedServiceMs, defaultDrainMs, expiryGraceMs, maxRemovedReports, drainSendShare } from './limits.js'
 
 /** Applies a registration of a backend server; a new instance of the server replaces the known one and starts without measurements. */
--- a/src/core/gateway/changeLags.ts
+++ b/src/core/gateway/changeLags.ts
@@ -1,5 +1,5 @@
 import type { GatewayWork } from './state.js'
-import { computeKnownAsOf } from './storeKnowledge.js'
+import { computeKnownAsOf } from './storeFreshness.js'
 import { changeLagLogMs, disruptionWindowMs } from './limits.js'
 
 /** Store changes that must take effect on every host within a short time: a new configuration, a leaving backend server, a removed registration. */
--- a/src/core/gateway/delegatedRenewals.ts
+++ b/src/core/gateway/delegatedRenewals.ts
@@ -1,7 +1,7 @@
 import type { GatewayEvent, LoadReport } from './events.js'
 import type { RenewedGrant } from './renewalState.js'
 import type { GatewayState, GatewayWork } from './state.js'
-import { computeResendMs, recordAnswerTime } from './answerTimes.js'
+import { computeResendMs, recordAnswerTime } from './grantAnswerTimes.js'
 import { buildGrantEffect, hasInstanceEnded, failedCallRetryMs } from './grantCalls.js'
 import { renewalMs, renewalValidityMs } from './limits.js'
 import { isSameVersion } from './placementChange.js'
--- a/src/core/gateway/grantChanges.ts
+++ b/src/core/gateway/grantChanges.ts
@@ -2,7 +2,7 @@
 import type { PlannedMove } from './planner.js'
 import type { ManagedGrant } from './grantingState.js'
 import type { GatewayWork } from './state.js'
-import { isUnavailableOrLeaving } from './holders.js'
+import { isUnavailableOrLeaving } from './ownerAvailability.js'
 import { maxMergesPerRound, maxHoldMs, renewalMs } from './limits.js'
 import { isWritten } from './placementWriting.js'
 
--- a/src/core/gateway/moves.ts
+++ b/src/core/gateway/moves.ts
@@ -3,7 +3,7 @@
 import type { ManagedGrant } from './grantingState.js'
 import type { GatewayWork } from './state.js'
 import { advanceGrant, isReleaseUnnecessary, updateLatestArrival } from './grantSteps.js'
-import { isUnavailable, isUnavailableOrLeaving } from './holders.js'
+import { isUnavailable, isUnavailableOrLeaving } from './ownerAvailability.js'
 import { moveProgressTimeoutMs, maxMovesInProgress } from './limits.js'
 import { isWritten } from './placementWriting.js'
 
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -22,7 +22,7 @@
 import { advancePublishing } from './publishing.js'
 import { advanceRelay } from './relaying.js'
 import { buildRouteIndex } from './routing.js'
-import { applySuspension, recordKnownAsOf } from './storeKnowledge.js'
+import { applySuspension, recordKnownAsOf } from './storeFreshness.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
 /** Reducer of a gateway: makes every decision on requests, keys and leadership. `reducedAt`: time at which the event is reduced, later than `event.now` when it was queued. */
--- a/src/core/gateway/renewerAssignment.ts
+++ b/src/core/gateway/renewerAssignment.ts
@@ -2,7 +2,7 @@
 import type { RenewerHost } from './renewalState.js'
 import type { GrantingState, ManagedGrant } from './grantingState.js'
 import type { GatewayState, GatewayWork } from './state.js'
-import { recordOwnerConfirmation, recordOwnerFailure } from './ownerContact.js'
+import { recordOwnerConfirmation, recordOwnerFailure } from './ownerReachability.js'
 import {
   chooseRenewersMs, computeReportMs, maxRenewedOwners, renewalMs, renewalValidityMs, renewerTimeoutReports, renewerShareFactor, minRenewerTimeoutMs, reportedRenewalTakeoverMs, renewalTakeoverMs
 } from './limits.js'
--- a/src/core/gateway/storeKnowledge.ts
+++ b/src/core/gateway/storeFreshness.ts
@@ -10,7 +10,11 @@
   state.knownAsOf = Math.max(state.knownAsOf, asOf)
 }
 
-/** Computes the time up to which all acknowledged changes of a kind are known here. `receivedAsOf` includes large values that are still being read, and of these kinds only a configuration can be one. */
+/**
+ * Computes the time up to which all acknowledged changes of a kind are known here. Changes of
+ * registrations are also known up to `receivedAsOf`. A configuration may not be: it can be so large
+ * that the granting host leaves it out of the changes it relays, and this host may still be reading it.
+ */
 export function computeKnownAsOf ({ knownAsOf, receivedAsOf }: GatewayState, change: ChangeKind): number {
   return change === 'configuration' ? knownAsOf : Math.max(knownAsOf, receivedAsOf)
 }
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -7,7 +7,7 @@
 import { setPlacement } from './placementWriting.js'
 import { applyPlacementChange, isLaterVersion, isSameVersion } from './placementChange.js'
 import { advanceWaiting } from './requestDispatch.js'
-import { recordKnownAsOf } from './storeKnowledge.js'
+import { recordKnownAsOf } from './storeFreshness.js'
 import { applyRenewalRequest } from './delegatedRenewals.js'
 
 /** Watches the store only while no granting host relays its changes: each watch is a billed call. */
--- a/src/core/policy/queuePolicy.ts
+++ b/src/core/policy/queuePolicy.ts
@@ -5,7 +5,7 @@
 
 /** Time after the last arrival of a rank during which slots stay reserved for it, in milliseconds. */
 const demandWindowMs = 2000
-/** Longest slot time of a request that does not count as blocking more urgent ranks, as a share of their target. */
+/** Share of a more urgent rank's target; a rank whose mean slot time exceeds it leaves slots free for that rank. */
 const maxBlockedTargetShare = 0.5
 
 /** Share of its target that a request may be estimated to take, so that it meets the target even if requests ahead of it are slow. */
--- a/src/core/policy/stopPolicy.ts
+++ b/src/core/policy/stopPolicy.ts
@@ -7,7 +7,7 @@
 /** Minimum time between the deadline of a request and the end of the process, in milliseconds: covers ticks and sending the answer to the caller. */
 const answerDeliveryMarginMs = 200
 
-/** Times of a graceful stop, in milliseconds of the monotonic clock. */
+/** Times of a graceful shutdown, in milliseconds of the monotonic clock. */
 export type StopTimes = {
   /** Time until which all requests are accepted. */
   acceptAllUntil: number
@@ -15,7 +15,7 @@
   endAt: number
 }
 
-/** Computes the times of a stop that starts at `now` and must be complete within `graceMs` milliseconds. */
+/** Computes the times of a graceful shutdown that starts at `now` and must be complete within `graceMs` milliseconds. */
 export function computeStopTimes (now: number, graceMs: number): StopTimes {
   const availableMs = Math.max(0, graceMs - exitMarginMs)
   return { acceptAllUntil: now + Math.min(acceptAllMs, availableMs * maxAcceptAllShare), endAt: now + availableMs }
--- a/src/runtime/backendClient.ts
+++ b/src/runtime/backendClient.ts
@@ -8,8 +8,8 @@
 import { decodeGrantAnswer, grantPath, headerNames, healthPath } from '../protocol/grantWire.js'
 import { isParseError, isTooLong, watchAnswer, watchIdleConnections } from './answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from './exchange.js'
-import { throttleReading } from './readingPace.js'
-import { createSendIdSource } from './sendingNumbers.js'
+import { throttleReading } from './readThrottle.js'
+import { createSendIdSource } from './sendIds.js'
 
 /** Timeout for the reply to a grant message, and for the remaining body of a refusal, in milliseconds. */
 const grantTimeoutMs = 200
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -7,7 +7,7 @@
 import type { GatewayWire } from './ports.js'
 import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
-import { throttleReading } from '../readingPace.js'
+import { throttleReading } from '../readThrottle.js'
 import { createBackendConnections } from './backendConnections.js'
 import { openRequest } from './requestOpening.js'
 
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -46,7 +46,7 @@
 
 /** A running gateway. */
 export type GatewayProgram = {
-  /** Starts a graceful stop. */
+  /** Starts a graceful shutdown. */
   stop: () => void
   stopped: Promise<void>
   getState: () => GatewayState
