Choose among samples of backend servers in fleets of 25 hosts and more; bound the growth that a host infers

Cause: with 195 hosts each one chose the server with the lowest cost in figures a second old, so that all chose the same few: 2,276 of 14,143 bookings were rejected by full servers, which hang, and a second request of one host to a server counted as 78 more at other hosts (a refusal), one request of a host without figures as 98. Change: three servers are sampled in the own zone, the region and elsewhere, and the cheapest of them is taken; all are asked when none of the samples admits. Growth at other hosts is inferred up to 4.5 requests (the figure of 12 hosts), the load of unknown hosts up to 5.5. At least one connection to each server instead of two (2 x 2,600 passed 1,200).

--- a/src/core/gateway/admission.ts
+++ b/src/core/gateway/admission.ts
@@ -1,10 +1,15 @@
 import type { Backend, GatewayRequest, GatewayState } from './state.js'
 import { loadMaxAgeMs, queueAllowance, targetShare } from './limits.js'
+import { countInFlight } from './loadTotals.js'
 
 /** Growth of this host's requests in flight since the last load exchange that is ignored; growth beyond it is taken as growth at other hosts too. */
 const ignoredGrowth = 1
 /** Share of the other hosts that are assumed to see the same growth: a hot key reaches most hosts, but not all. */
 const growthSpread = 0.4
+/** Upper bound of the requests at all other hosts that one more request here stands for. In a large fleet a host sees so few of a server's requests that a second one is mostly chance. */
+const maxInferredGrowth = 4.5
+/** Upper bound of the requests at all other hosts that each request here stands for while their load is unknown. */
+const maxInferredInFlight = 5.5
 /** Share of the slots that lower-priority requests may fill while higher-priority ones are short of capacity. */
 const lowerPriorityShare = 0.75
 /** Time after a refusal for which its priority counts as short of capacity, in milliseconds. */
@@ -17,9 +22,9 @@
 
 /** Estimates the requests in flight at a backend server, from all hosts. */
 export function estimateInFlight (state: GatewayState, backend: Backend): number {
-  if (state.now - state.loadReadAt > loadMaxAgeMs) return backend.inFlight * (1 + (state.hosts - 1) / 2)
+  if (state.now - state.loadReadAt > loadMaxAgeMs) return backend.inFlight * (1 + Math.min(maxInferredInFlight, (state.hosts - 1) / 2))
   const growth = Math.max(0, backend.inFlight - backend.inFlightAtReport - ignoredGrowth)
-  return backend.inFlight + backend.othersInFlight + growth * (state.hosts - 1) * growthSpread
+  return backend.inFlight + backend.othersInFlight + countInFlight(state.collecting, backend.id) + growth * Math.min(maxInferredGrowth, (state.hosts - 1) * growthSpread)
 }
 
 /** Estimates the time for which one request occupies a slot of a backend server, in milliseconds. */
--- a/src/core/gateway/backendChoice.ts
+++ b/src/core/gateway/backendChoice.ts
@@ -20,6 +20,11 @@
 /** Random part of the cost, in milliseconds; keeps hosts from all choosing the same backend server between two load exchanges. */
 const jitterMs = 8
 
+/** Number of hosts in the fleet from which each one chooses among samples. With the figures of a large fleet, all hosts would choose the same few backend servers at once. */
+const sampledFromHosts = 25
+/** Number of backend servers sampled in the own availability zone, in the rest of the region, and elsewhere. */
+const samplesPerDistance = 3
+
 /** Decides whether a request may be sent to a backend server. */
 export type AdmitRequest = (state: GatewayState, request: GatewayRequest, backend: Backend) => Admission
 
@@ -28,30 +33,66 @@
 
 /** Chooses among backend servers that can all serve the request: the one with the lowest cost in expected time and distance. Avoided servers are used only when there are no others. */
 export function chooseBackend (state: GatewayState, request: GatewayRequest, admit: AdmitRequest): BackendChoice {
+  const usable: Backend[] = []
+  const avoided: Backend[] = []
+  for (const id of state.backendsByService.get(request.service) ?? []) {
+    const backend = state.backends.get(id)
+    if (backend === undefined || !isUsable(backend) || request.tried.includes(id)) continue
+    const list = backend.avoidUntil > state.now ? avoided : usable
+    list.push(backend)
+  }
+  if (state.hosts >= sampledFromHosts) {
+    const choice = chooseLowestCost(state, request, listSamples(state, usable), admit)
+    if (choice.kind === 'chosen') return choice
+  }
+  const choice = chooseLowestCost(state, request, usable, admit)
+  return choice.kind === 'none' ? chooseLowestCost(state, request, avoided, admit) : choice
+}
+
+function chooseLowestCost (state: GatewayState, request: GatewayRequest, backends: readonly Backend[], admit: AdmitRequest): BackendChoice {
   let best: Backend | undefined
   let bestCost = Infinity
   let shortestWaitMs = Infinity
   const refusing: Backend[] = []
-  for (const isAvoidedPass of [false, true]) {
-    for (const id of state.backendsByService.get(request.service) ?? []) {
-      const backend = state.backends.get(id)
-      if (backend === undefined || !isUsable(backend) || request.tried.includes(id)) continue
-      if ((backend.avoidUntil > state.now) !== isAvoidedPass) continue
-      const admission = admit(state, request, backend)
-      if (admission.kind === 'refuse') {
-        shortestWaitMs = Math.min(shortestWaitMs, admission.waitMs)
-        refusing.push(backend)
-        continue
-      }
-      const cost = computeTimeCost(state, request, backend, admission.expectedMs) + computeDistanceMs(state, request, backend) + uniformFloat64(state.random) * jitterMs
-      if (cost >= bestCost) continue
-      best = backend
-      bestCost = cost
+  for (const backend of backends) {
+    const admission = admit(state, request, backend)
+    if (admission.kind === 'refuse') {
+      shortestWaitMs = Math.min(shortestWaitMs, admission.waitMs)
+      refusing.push(backend)
+      continue
     }
-    if (best !== undefined) return { kind: 'chosen', backend: best }
-    if (shortestWaitMs < Infinity) return { kind: 'full', refusing, waitMs: shortestWaitMs }
+    const cost = computeTimeCost(state, request, backend, admission.expectedMs) + computeDistanceMs(state, request, backend) + uniformFloat64(state.random) * jitterMs
+    if (cost >= bestCost) continue
+    best = backend
+    bestCost = cost
   }
-  return { kind: 'none' }
+  if (best !== undefined) return { kind: 'chosen', backend: best }
+  return shortestWaitMs < Infinity ? { kind: 'full', refusing, waitMs: shortestWaitMs } : { kind: 'none' }
+}
+
+/** Samples backend servers at each distance, each with the same probability. */
+function listSamples (state: GatewayState, backends: readonly Backend[]): Backend[] {
+  const samples: Backend[][] = [[], [], []]
+  const seen = [0, 0, 0]
+  for (const backend of backends) {
+    const distance = computeDistance(state, backend)
+    const sample = samples[distance] ?? []
+    const count = (seen[distance] ?? 0) + 1
+    seen[distance] = count
+    if (sample.length < samplesPerDistance) {
+      sample.push(backend)
+      continue
+    }
+    const index = Math.floor(uniformFloat64(state.random) * count)
+    if (index < samplesPerDistance) sample[index] = backend
+  }
+  return samples.flat()
+}
+
+/** Computes the distance of a backend server: 0 in the own availability zone, 1 in the rest of the region, 2 elsewhere. */
+function computeDistance ({ identity }: GatewayState, backend: Backend): 0 | 1 | 2 {
+  if (backend.zone === identity.zone) return 0
+  return identity.regionOf.get(backend.zone) === identity.region ? 1 : 2
 }
 
 /** Whether a backend server may be chosen for requests that any server of its service can run. */
@@ -68,8 +109,8 @@
 }
 
 function computeDistanceMs (state: GatewayState, request: GatewayRequest, backend: Backend): number {
-  if (backend.zone === state.identity.zone) return 0
+  const distance = computeDistance(state, backend)
+  if (distance === 0) return 0
   const bytesMs = request.bodyBytes / 10_000 * crossBytesMs
-  const isSameRegion = state.identity.regionOf.get(backend.zone) === state.identity.region
-  return (isSameRegion ? crossZoneMs : crossRegionMs) + bytesMs
+  return (distance === 1 ? crossZoneMs : crossRegionMs) + bytesMs
 }
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -19,8 +19,8 @@
 
 /** Share of a backend server's connections that all hosts together use for requests; the others are left for grants and for hosts that start. */
 const usedConnectionShare = 0.75
-/** Minimum number of connections that a host may have to a backend server: one in use and one more. */
-const minConnectionsPerBackend = 2
+/** Minimum number of connections that a host may have to a backend server: more would exceed what the server accepts from thousands of hosts. */
+const minConnectionsPerBackend = 1
 /** Maximum number of connections that a host needs to a backend server: enough for its slots and its queue. */
 const maxConnectionsPerBackend = 24
 
