--- a/spec/gateway/followingFleet.ts
+++ b/spec/gateway/followingFleet.ts
@@ -7,7 +7,7 @@
 import type { RelayStore } from './relayStore.js'
 import { platformWire } from '../../platform/platformWire.js'
 import { encodeGrantingHost, grantingHostKey } from '../../src/protocol/placementRecord.js'
-import { buildFleetLoad, listInFlight } from '../../src/core/gateway/loadExchange.js'
+import { buildLoadAnswer } from '../../src/core/gateway/loadExchange.js'
 import { computeWatchPauseMs, gatewayTickMs } from '../../src/core/gateway/limits.js'
 import { isTickDue, reduceGateway } from '../../src/core/gateway/reduceGateway.js'
 import { buildGatewayRules } from '../../src/core/gateway/rules.js'
@@ -40,6 +40,8 @@
   deferred: Array<() => void> | undefined
   /** Delay with which the process handles every event, in milliseconds. */
   delayMs: number
+  /** Address of the host to which it reports. */
+  reportsTo: string
   /** Send times of the load reports that have no answer yet. */
   pendingReports: number[]
   /** Revision up to which the granting host has relayed store changes to it. */
@@ -51,11 +53,11 @@
 
 const rules = buildGatewayRules()
 
-/** Starts the hosts of a fleet at staggered times within the first 300 ms. */
-export function startFollowingFleet (queue: EventQueue, store: RelayStore, hostCount: number): FollowingFleet {
+/** Starts the hosts of a fleet, spread evenly over availability zones, at staggered times within the first 300 ms. */
+export function startFollowingFleet (queue: EventQueue, store: RelayStore, hostCount: number, zoneCount = 1): FollowingFleet {
   const fleet: FollowingFleet = { queue, store, hosts: [], leases: new Map() }
   for (let index = 0; index < hostCount; index++) {
-    scheduleIn(queue, index * 7 % 300, () => { fleet.hosts.push(startHost(fleet, `host-${index}`)) })
+    scheduleIn(queue, index * 7 % 300, () => { fleet.hosts.push(startHost(fleet, `host-${index}`, `zone-${index % zoneCount + 1}`)) })
   }
   return fleet
 }
@@ -83,7 +85,7 @@
   host.follower.stop()
 }
 
-function startHost (fleet: FollowingFleet, name: string): FollowingHost {
+function startHost (fleet: FollowingFleet, name: string, zone: string): FollowingHost {
   const { queue, store } = fleet
   let totalPausedMs = 0
   let pausedAt: number | undefined
@@ -99,7 +101,7 @@
     },
     wall: () => queue.now
   }
-  const identity = { host: name, zone: 'zone-1', region: 'region-1', regionOf: new Map(), address: `10.0.1.${name.slice(5)}:7540`, processorShare: 1 }
+  const identity = { host: name, zone, region: 'region-1', regionOf: new Map(), address: `10.0.1.${name.slice(5)}:7540`, processorShare: 1 }
   const host: FollowingHost = {
     name,
     state: buildGatewayState(identity, queue.lastSequence, queue.now),
@@ -109,6 +111,7 @@
     isCutFromHosts: false,
     deferred: undefined,
     delayMs: 0,
+    reportsTo: '',
     pendingReports: [],
     relayedRevision: undefined
   }
@@ -198,9 +201,11 @@
   if (target === undefined) return
   const sentAt = host.clock.now()
   const endExchange = () => {
-    host.pendingReports = []
-    postTo(fleet, host, { kind: 'exchange-ended', now: host.clock.now() })
+    if (host.reportsTo !== effect.address) return
+    Object.assign(host, { pendingReports: [], relayedRevision: undefined })
+    postTo(fleet, host, { kind: 'exchange-ended', now: host.clock.now(), address: effect.address })
   }
+  if (host.reportsTo !== effect.address) Object.assign(host, { reportsTo: effect.address, pendingReports: [], relayedRevision: undefined })
   if (sentAt - (host.pendingReports[0] ?? sentAt) > reportTimeoutMs) endExchange()
   host.pendingReports.push(sentAt)
   const { pendingReports } = host
@@ -208,14 +213,14 @@
     if (host.isCutFromHosts || target.isCutFromHosts) return
     if (target.isDown) return scheduleIn(queue, linkDelayMs, () => runOn(host, endExchange))
     runOn(target, () => {
-      if (target.state.granting.role !== 'leading') return scheduleIn(queue, linkDelayMs, () => runOn(host, endExchange))
+      const load = buildLoadAnswer(target.state, host.name, { now: target.clock.now(), wall: target.clock.wall() })
+      if (load === undefined) return scheduleIn(queue, linkDelayMs, () => runOn(host, endExchange))
       postTo(fleet, target, { kind: 'load-reported', now: target.clock.now(), report: effect.report })
       if (host.relayedRevision === undefined) sendChanges(fleet, target, host, effect.report.storeRevision)
-      const load = buildFleetLoad(target.state, host.name, { now: target.clock.now(), wall: target.clock.wall() })
       scheduleIn(queue, linkDelayMs, () => runOn(host, () => {
         if (host.pendingReports !== pendingReports) return
         const reportedAt = pendingReports.shift() ?? -Infinity
-        postTo(fleet, host, { kind: 'fleet-load-read', now: host.clock.now(), load, reported: listInFlight(effect.report), reportedAt })
+        postTo(fleet, host, { kind: 'fleet-load-read', now: host.clock.now(), load, reported: effect.inFlight, reportedAt })
       }))
     })
   })
@@ -223,7 +228,7 @@
 
 function sendChangesToHosts (fleet: FollowingFleet, granting: FollowingHost): void {
   for (const host of fleet.hosts) {
-    if (host !== granting && host.relayedRevision !== undefined) sendChanges(fleet, granting, host, host.relayedRevision)
+    if (host.reportsTo === granting.state.identity.address && host !== granting && host.relayedRevision !== undefined) sendChanges(fleet, granting, host, host.relayedRevision)
   }
 }
 
--- a/spec/gateway/histories.ts
+++ b/spec/gateway/histories.ts
@@ -30,11 +30,14 @@
   pick: fc.nat({ max: 1000 })
 }), { minLength: 1, maxLength: 6 })
 
+/** Hosts of a history, and the availability zones over which they are spread. */
+export type HistoryFleet = { hosts: number, zones: number }
+
 /** Runs a history on a small fleet under moderate load; `lateShare` is the share of calls that are late during the late-grants and late-store-calls faults. */
-export function runHistory (faults: readonly InjectedFault[], seed: number, rules: GatewayRules, lateShare = 0.3): TrafficResult {
+export function runHistory (faults: readonly InjectedFault[], seed: number, rules: GatewayRules, lateShare = 0.3, fleet: HistoryFleet = { hosts: 5, zones: 1 }): TrafficResult {
   return runTrafficScenario({
     seed,
-    hosts: 5,
+    ...fleet,
     shards: 6,
     plain: 0,
     lengthMs: 18_000,
--- a/spec/gateway/lateChanges.ts
+++ b/spec/gateway/lateChanges.ts
@@ -7,13 +7,17 @@
 
 /** Faults of the granting host: its watches get no answer, the store does not answer it, neither the store nor other hosts reach it, it is paused (for good or for a time), it is killed, or it handles every event late. */
 export const grantingHostFaults = ['watch-silent', 'store-cut', 'all-cut', 'paused', 'paused-for-a-time', 'killed', 'slow'] as const
-/** A fault of the granting host. */
-export type GrantingHostFault = typeof grantingHostFaults[number]
+/** A fault of the granting host, or of the collector of an availability zone. */
+export type HostFault = typeof grantingHostFaults[number]
 
 /** A change of the configuration and of a backend server while the granting host has a fault. */
 export type LateChange = {
   hosts: number
-  fault: GrantingHostFault
+  /** Number of availability zones over which the hosts are spread; 1 if undefined. */
+  zones?: number
+  fault: HostFault
+  /** Host with the fault: the granting host if undefined. */
+  faultyHost?: 'granting-host' | 'collector'
   /** Time between two reports of a backend server, in milliseconds; short intervals keep the store's watches busy all the time. */
   reportIntervalMs: number
   /** Time from the fault to the changes, in milliseconds. */
@@ -41,7 +45,7 @@
   const store = buildRelayStore(queue)
   writeBackends(store)
   writeConfiguration(store, 1)
-  const fleet = startFollowingFleet(queue, store, change.hosts)
+  const fleet = startFollowingFleet(queue, store, change.hosts, change.zones)
   const reportRepeatedly = (sequence: number) => {
     writeBackend(store, 1, false, sequence)
     scheduleIn(queue, change.reportIntervalMs, () => reportRepeatedly(sequence + 1))
@@ -51,12 +55,15 @@
   const granting = findGrantingHost(fleet)
   const followingCount = fleet.hosts.filter(host => host.state.storeSource === 'told').length
   if (granting === undefined || followingCount < change.hosts - 1) return { problem: `only ${followingCount} hosts receive relayed store changes` }
-  causeFault(fleet, granting, change.fault)
+  const collector = fleet.hosts.find(host => host.state.collecting.role === 'collecting')
+  if ((change.zones ?? 1) > 1 && collector === undefined) return { problem: 'no zone has a collector' }
+  const faulty = change.faultyHost === 'collector' && collector !== undefined ? collector : granting
+  causeFault(fleet, faulty, change.fault)
   await advanceVirtualTime(queue, change.afterMs)
-  return await measureChange(fleet, fleet.hosts.filter(host => host !== granting))
+  return await measureChange(fleet, fleet.hosts.filter(host => host !== faulty))
 }
 
-function causeFault ({ store, queue }: FollowingFleet, host: FollowingHost, fault: GrantingHostFault): void {
+function causeFault ({ store, queue }: FollowingFleet, host: FollowingHost, fault: HostFault): void {
   switch (fault) {
     case 'watch-silent':
       store.watchSilentTo.add(host.name)
--- a/spec/gateway/trafficScenario.ts
+++ b/spec/gateway/trafficScenario.ts
@@ -13,6 +13,8 @@
 export type TrafficScenario = {
   seed: number
   hosts: number
+  /** Number of availability zones over which hosts are spread; 1 if undefined. */
+  zones?: number
   /** Number of backend servers of the sharded service. */
   shards: number
   /** Number of backend servers of the plain service. */
@@ -42,7 +44,7 @@
 
 /** Runs a scenario and counts the outcomes of requests. A refused caller retries once if the refusal has a retry time. */
 export function runTrafficScenario (scenario: TrafficScenario): TrafficResult {
-  const world = createGatewayWorld({ seed: scenario.seed, hosts: scenario.hosts, configuration: buildTrafficConfiguration(scenario), rules: scenario.rules })
+  const world = createGatewayWorld({ seed: scenario.seed, hosts: scenario.hosts, zones: scenario.zones, configuration: buildTrafficConfiguration(scenario), rules: scenario.rules })
   const random = xoroshiro128plus(scenario.seed * 31 + 7)
   world.workMs = () => scenario.workMs * (0.6 + uniformFloat64(random) * 0.8)
   for (let index = 0; index < scenario.shards; index++) addBackend(world, buildRegistration('shards', index), slownessFactors[index % slownessFactors.length])
--- a/spec/gateway/virtualEffects.ts
+++ b/spec/gateway/virtualEffects.ts
@@ -4,11 +4,11 @@
 import type { VirtualHost, GatewayWorld } from './virtualWorld.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { grantTimeoutMs, releaseTimeoutMs } from '../../src/core/gateway/limits.js'
-import { buildFleetLoad, listInFlight } from '../../src/core/gateway/loadExchange.js'
+import { buildLoadAnswer } from '../../src/core/gateway/loadExchange.js'
 import { scheduleIn } from '../eventQueue.js'
 import { acceptWork, hasGrant, releaseGrant, acceptGrant } from './virtualBackend.js'
 import { createLease, renewLease, writeStore } from './virtualStore.js'
-import { linkDelayMs, storeDelayMs, placementKey, grantingHostKey, lastGrantingHostKey, isStoreReachable, readStore, notifyHosts, postLater, post, endRequest } from './virtualWorld.js'
+import { linkDelayMs, storeDelayMs, placementKey, grantingHostKey, lastGrantingHostKey, isStoreReachable, readStore, notifyHosts, postLater, post, endRequest, reportTimeoutMs, wallOffsetMs } from './virtualWorld.js'
 
 /** Time after which the outcome of an unanswered store call counts as unknown, in milliseconds. */
 const storeTimeoutMs = 1000
@@ -79,16 +79,30 @@
       const target = world.hosts.find(other => other.name === effect.address)
       if (target === undefined) return
       const reportedAt = queue.now
+      const { exchange } = host
+      const isOverdue = exchange.address === effect.address && queue.now - (exchange.unanswered[0] ?? queue.now) > reportTimeoutMs
+      if (isOverdue) postLater(world, host, 0, { kind: 'exchange-ended', now: 0, address: effect.address })
+      if (isOverdue || exchange.address !== effect.address) host.exchange = { address: effect.address, unanswered: [] }
+      host.exchange.unanswered.push(reportedAt)
+      const opened = host.exchange
       return scheduleIn(queue, linkDelayMs, () => {
         if (target.isPaused || host.isCutFromHosts || target.isCutFromHosts) return
-        if (!target.isUp || target.state.granting.role !== 'leading') return postLater(world, host, linkDelayMs, { kind: 'exchange-ended', now: 0 })
+        const load = target.isUp ? buildLoadAnswer(target.state, host.name, { now: queue.now, wall: queue.now + wallOffsetMs }) : undefined
+        if (load === undefined) {
+          if (host.exchange === opened) host.exchange = { address: '', unanswered: [] }
+          return postLater(world, host, linkDelayMs, { kind: 'exchange-ended', now: 0, address: effect.address })
+        }
         post(world, target, { kind: 'load-reported', now: 0, report: effect.report })
-        postLater(world, host, linkDelayMs, { kind: 'fleet-load-read', now: 0, load: buildFleetLoad(target.state, host.name), reported: listInFlight(effect.report), reportedAt })
+        scheduleIn(queue, linkDelayMs, () => {
+          if (host.exchange !== opened) return
+          opened.unanswered.shift()
+          postLater(world, host, 0, { kind: 'fleet-load-read', now: 0, load, reported: effect.inFlight, reportedAt })
+        })
       })
     }
     case 'publish-placement': {
       for (const target of world.hosts) {
-        if (target === host || host.isCutFromHosts || target.isCutFromHosts || (effect.host !== undefined && effect.host !== target.name)) continue
+        if (target === host || target.exchange.address !== host.name || host.isCutFromHosts || target.isCutFromHosts || (effect.host !== undefined && effect.host !== target.name)) continue
         const incarnation = target.incarnation
         scheduleIn(queue, linkDelayMs, () => { if (target.incarnation === incarnation) post(world, target, { kind: 'placement-changed', now: 0, change: effect.change }) })
       }
--- a/spec/gateway/virtualGateways.ts
+++ b/spec/gateway/virtualGateways.ts
@@ -10,14 +10,14 @@
 import { createEventQueue, scheduleIn } from '../eventQueue.js'
 import { buildVirtualBackend } from './virtualBackend.js'
 import { buildVirtualStore, endExpiredLeases } from './virtualStore.js'
-import { readStore, notifyHosts, postFromStore, post, endRequest } from './virtualWorld.js'
+import { readStore, notifyHosts, postFromStore, post, endRequest, wallOffsetMs } from './virtualWorld.js'
 import { interpret } from './virtualEffects.js'
 
 /** Time between two checks for expired leases, in milliseconds. */
 const leaseCheckMs = 25
 
-/** Builds a world whose hosts start with empty memory. */
-export function createGatewayWorld (options: { seed: number, hosts: number, configuration: Configuration, rules: GatewayRules }): GatewayWorld {
+/** Builds a world whose hosts start with empty memory; they are spread evenly over `zones` availability zones. */
+export function createGatewayWorld (options: { seed: number, hosts: number, zones?: number | undefined, configuration: Configuration, rules: GatewayRules }): GatewayWorld {
   const world: GatewayWorld = {
     queue: createEventQueue(),
     random: xoroshiro128plus(options.seed),
@@ -37,7 +37,8 @@
     interpret
   }
   for (let index = 0; index < options.hosts; index++) {
-    world.hosts.push({ name: `host-${index}`, state: buildState(`host-${index}`, options.seed + index, 0), isUp: true, isPaused: false, isCutFromStore: false, isCutFromHosts: false, unreachableBackends: new Set(), incarnation: 1, deferredEvents: [], clockOffset: 0 })
+    const zone = `zone-${index % (options.zones ?? 1) + 1}`
+    world.hosts.push({ name: `host-${index}`, zone, state: buildState(`host-${index}`, zone, options.seed + index, 0), isUp: true, isPaused: false, isCutFromStore: false, isCutFromHosts: false, unreachableBackends: new Set(), incarnation: 1, exchange: { address: '', unanswered: [] }, deferredEvents: [], clockOffset: 0 })
   }
   world.hosts.forEach((host, index) => scheduleIn(world.queue, index, () => startHost(world, host)))
   const checkLeases = () => {
@@ -48,8 +49,8 @@
   return world
 }
 
-function buildState (name: string, seed: number, now: number): GatewayState {
-  return buildGatewayState({ host: name, zone: 'zone-1', region: 'region-1', regionOf: new Map(), address: name, processorShare: 1 }, seed, now)
+function buildState (name: string, zone: string, seed: number, now: number): GatewayState {
+  return buildGatewayState({ host: name, zone, region: 'region-1', regionOf: new Map(), address: name, processorShare: 1 }, seed, now)
 }
 
 /** Adds a backend server and announces it to the hosts. */
@@ -72,7 +73,7 @@
   const incarnation = host.incarnation
   const tick = () => {
     if (host.incarnation !== incarnation) return
-    if (!host.isPaused) post(world, host, { kind: 'tick', now: 0, wall: world.queue.now + 1_000_000 })
+    if (!host.isPaused) post(world, host, { kind: 'tick', now: 0, wall: world.queue.now + wallOffsetMs })
     scheduleIn(world.queue, gatewayTickMs, tick)
   }
   tick()
@@ -89,7 +90,8 @@
 export function restartHost (world: GatewayWorld, host: VirtualHost): void {
   host.isUp = true
   host.isPaused = false
-  host.state = buildState(host.name, Math.floor(uniformFloat64(world.random) * 1e9), world.queue.now)
+  host.exchange = { address: '', unanswered: [] }
+  host.state = buildState(host.name, host.zone, Math.floor(uniformFloat64(world.random) * 1e9), world.queue.now)
   startHost(world, host)
 }
 
--- a/spec/gateway/virtualWorld.ts
+++ b/spec/gateway/virtualWorld.ts
@@ -16,6 +16,12 @@
 /** One-way delay of a store call, in milliseconds. */
 export const storeDelayMs = 12
 
+/** Difference between the wall clock and the monotonic clock of all hosts, in milliseconds. */
+export const wallOffsetMs = 1_000_000
+
+/** Time without an answer to a report after which a host ends the exchange, in milliseconds. */
+export const reportTimeoutMs = 800
+
 export const placementKey = 'placement'
 
 export const grantingHostKey = 'granting'
@@ -25,6 +31,7 @@
 /** A simulated host. */
 export type VirtualHost = {
   name: string
+  zone: string
   state: GatewayState
   isUp: boolean
   isPaused: boolean
@@ -35,6 +42,8 @@
   unreachableBackends: Set<string>
   /** Number that changes when the process ends, so that callbacks of an earlier process are ignored. */
   incarnation: number
+  /** Address of the host to which it reports, and the times of its reports without an answer. */
+  exchange: { address: string, unanswered: number[] }
   /** Events that arrived while it was paused. */
   deferredEvents: GatewayEvent[]
   clockOffset: number
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -90,6 +90,7 @@
     sampleCount: 0,
     avoidUntil: 0,
     admitShare: 1,
+    fleetServiceMs: 0,
     noReuseUntil: 0,
     answeredSinceReport: 0,
     serviceMsSinceReport: 0
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -24,6 +24,7 @@
   backendReturned: 4112,
   backendReportIgnored: 4113,
   changeLags: 4114,
+  collectorChanged: 4115,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
@@ -65,7 +66,8 @@
   | { kind: 'read-store' }
   | { kind: 'grant', service: string, backend: string, address: string, from: number, to: number, fence: number, holdMs: number, handover: string | undefined }
   | { kind: 'release', service: string, backend: string, address: string, from: number, to: number, fence: number }
-  | { kind: 'report-load', address: string, report: LoadReport }
+  /** `inFlight`: this host's own requests in flight, by backend server. */
+  | { kind: 'report-load', address: string, report: LoadReport, inFlight: Map<string, number> }
   | { kind: 'publish-placement', change: PlacementChange, host: string | undefined }
   | { kind: 'watch-store', isOn: boolean }
   /** Relays the store's changes to the hosts that report to this one. */
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -39,8 +39,21 @@
   renewed: Array<{ fence: number, from: number, to: number, ageMs: number }>
   /** Granting host as known to this host, with the revision of its record. */
   granting: KnownGrantingHost | undefined
+  /** Address for the exchange between hosts; empty while the host can't be a collector. */
+  address?: string | undefined
+  /** Processor time available to the host, in cores. */
+  processorShare?: number | undefined
+  /** Number of hosts whose load the report contains; 1 if undefined. */
+  hosts?: number | undefined
+  /** Whether hosts of its zone report to this host. */
+  isCollecting?: boolean | undefined
+  /** Reports of hosts of its zone that arrived since its previous report; their load is part of this one. */
+  members?: MemberReport[] | undefined
 }
 
+/** Report of a host that its collector passes on, without the load. `ageMs`: time since it arrived at the collector, in milliseconds. */
+export type MemberReport = Pick<LoadReport, 'host' | 'zone' | 'placement' | 'granting' | 'renewed' | 'address' | 'processorShare'> & { ageMs: number }
+
 /** A granting host, with the revision of its record. */
 export type KnownGrantingHost = { host: GrantingHost, revision: number }
 
@@ -57,6 +70,16 @@
   backends: Array<{ id: string, inFlight: number, serviceMs: number, admitShare: number }>
   /** Owners whose grants the receiver is asked to renew. */
   renewals: string[]
+  /** Time since a report was sent that the granting host answered with these owners, in milliseconds; 0 if the sender is the granting host. */
+  renewalsAgeMs?: number | undefined
+  /** Age of the load figures, in milliseconds; 0 if the sender is the granting host. */
+  loadAgeMs?: number | undefined
+  /** Number of hosts that report to the sender directly; `hosts` if undefined. */
+  reporters?: number | undefined
+  /** Collector of the receiver's zone, to which it reports from now on; undefined while it reports to the granting host. */
+  collector?: GrantingHost | undefined
+  /** Owners whose grants each host that reports to the receiver is asked to renew. */
+  memberRenewals?: Array<{ host: string, owners: string[] }> | undefined
 }
 
 /** Head of a caller's request, decoded. */
@@ -110,7 +133,8 @@
   /** `reported`: requests in flight in the report that this answers; `reportedAt`: when that report was sent. */
   | { kind: 'fleet-load-read', now: number, load: FleetLoad, reported: Map<string, number>, reportedAt: number }
   | { kind: 'placement-changed', now: number, change: PlacementChange }
-  | { kind: 'exchange-ended', now: number }
+  /** `address`: address of the host with which the exchange ended. */
+  | { kind: 'exchange-ended', now: number, address?: string }
   /** The process must end within `graceMs` milliseconds. */
   | { kind: 'stop-asked', now: number, graceMs: number }
   /** The last connection of a caller has closed. */
--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -1,6 +1,10 @@
 import type { GrantingHost, KeyRange, Placement } from './model.js'
+import type { LoadTotals } from './loadTotals.js'
 import type { VersionedPlacement } from './placementChange.js'
+import type { Relay } from './relaying.js'
 import type { RenewerHost } from './renewalState.js'
+import { buildLoadTotals } from './loadTotals.js'
+import { buildRelay } from './relaying.js'
 
 /** A grant that this host manages as the granting host. */
 export type ManagedGrant = {
@@ -41,7 +45,7 @@
 export type DecayingSum = { value: number, burst: number, at: number }
 
 /** Leadership state of a host, with what the leader (the granting host) knows of grants, load and renewers. */
-export type GrantingState = {
+export type GrantingState = LoadTotals & Relay & {
   role: 'follower' | 'claiming' | 'leading'
   claimAt: number | undefined
   claimSentAt: number
@@ -86,12 +90,6 @@
   publishAt: number
   /** Private copy of the placement, in force since the last publication; it can be changed in place. */
   workingCopy: Placement | undefined
-  /** Revision of the store up to which changes were relayed to the other hosts. */
-  relayedRevision: number
-  /** At the last relay, this host knew every change that the store had acknowledged by this time. */
-  relayedAsOf: number
-  /** Earliest time of the next relay. */
-  relayAt: number
   balanceAt: number
   /** When cold ranges may next move to the owners of neighbouring ranges. */
   consolidateAt: number
@@ -111,10 +109,12 @@
   /** Share of its requests that each overloaded owner can accept. */
   admitShares: Map<string, number>
   admitAt: number
-  /** Last report of each host, oldest first. */
-  reports: Map<string, { at: number, inFlight: Map<string, number> }>
-  /** Hosts that renew grants for this one, by name. */
+  /** Hosts that report, directly or through a collector, and may renew grants for this one, by name. */
   renewers: Map<string, RenewerHost>
+  /** Collector of each availability zone. */
+  collectors: ReadonlyMap<string, GrantingHost>
+  /** When collectors are chosen next. */
+  chooseCollectorsAt: number
   /** Host that renews the grants of each owner. */
   renewerByOwner: Map<string, string>
   /** Until when each host may renew the grants of an owner, by owner and host; includes hosts that were asked earlier. */
@@ -125,14 +125,14 @@
   chooseRenewersAt: number
   /** When the moves were last advanced. */
   movesCheckedAt: number
-  /** Requests in flight at each backend server, summed over the reports. */
-  inFlight: Map<string, number>
 }
 
 /** Builds the state of a host that is not the granting host. */
 export function buildGrantingState (now: number): GrantingState {
   return {
     role: 'follower',
+    ...buildLoadTotals(),
+    ...buildRelay(now),
     claimAt: undefined,
     claimSentAt: 0,
     lease: 0,
@@ -159,9 +159,6 @@
     published: undefined,
     publishAt: now,
     workingCopy: undefined,
-    relayedRevision: 0,
-    relayedAsOf: -Infinity,
-    relayAt: now,
     balanceAt: now,
     consolidateAt: now,
     mildRebalanceAt: now,
@@ -173,13 +170,13 @@
     serviceTimes: new Map(),
     admitShares: new Map(),
     admitAt: now,
-    reports: new Map(),
     renewers: new Map(),
+    collectors: new Map(),
+    chooseCollectorsAt: now,
     renewerByOwner: new Map(),
     renewableUntil: new Map(),
     ownerFailingSince: new Map(),
     chooseRenewersAt: now,
-    movesCheckedAt: now,
-    inFlight: new Map()
+    movesCheckedAt: now
   }
 }
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -1,4 +1,4 @@
-import type { GatewayEvent, LoadReport } from './events.js'
+import type { GatewayEvent, LoadReport, MemberReport } from './events.js'
 import type { GrantingHost } from './model.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
@@ -6,6 +6,7 @@
 import { notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
 import { sendPlacementChange } from './publishing.js'
+import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
 
 /** Timeout of an unanswered claim, in milliseconds: longer than the delays of the store. */
@@ -109,6 +110,9 @@
     hasPossiblePredecessors,
     predecessorsActiveUntil: hasPossiblePredecessors ? event.now + maxStoreOutageMs : event.now
   }
+  // The hosts that reported to this one as a collector now report to it as the granting host.
+  state.collecting = buildCollectingState(event.now)
+  state.collector = undefined
   work.effects.push({ kind: 'read-store' })
   work.effects.push({ kind: 'log', event: 'leadershipWon', fields: { lease: event.lease, revision: event.revision } })
 }
@@ -132,7 +136,7 @@
  * Applies what another host reports about the granting host. It can be newer than what this host knows while the
  * store is unreachable. A predecessor that reports this host's lease has stopped renewing its own grants.
  */
-export function applyReportedGrantingHost (work: GatewayWork, report: LoadReport): void {
+export function applyReportedGrantingHost (work: GatewayWork, report: LoadReport | MemberReport): void {
   const { state } = work
   if (report.granting === undefined) return
   if (report.granting.revision > state.grantingRevision) {
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -1,14 +1,15 @@
 import type { FleetLoad, LoadReport } from './events.js'
-import type { FleetEstimates } from './model.js'
+import type { FleetEstimates, GrantingHost } from './model.js'
 import type { PlannerInput, Candidate } from './planner.js'
 import type { DecayingSum, ManagedGrant } from './grantingState.js'
 import type { Backend, GatewayState, GatewayWork } from './state.js'
 import type { Clocks } from './storeFreshness.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
 import { computeKeyRates } from './keyRates.js'
+import { addCollectedLoad, buildCollectorAnswer, chooseReportAddress } from './collecting.js'
 import { addReport, countInFlight } from './loadTotals.js'
 import { computeStoreAgeMs } from './storeFreshness.js'
-import { listOwnersToRenew } from './renewerAssignment.js'
+import { listMemberRenewals, listOwnersToRenew } from './renewerAssignment.js'
 import { listConfirmedRenewals } from './delegatedRenewals.js'
 import { findRange } from './routing.js'
 import {
@@ -30,17 +31,20 @@
 export function advanceReport (work: GatewayWork): void {
   const { state } = work
   if (state.now < state.reportAt) return
-  state.reportAt = state.now + computeReportMs(state.hosts)
+  state.reportAt = state.now + computeReportMs(state.reporters)
   state.reportedAt = state.now
-  if (state.grantingHost === undefined) return
-  const report = buildReport(state)
-  state.reportedTo = state.grantingHost.address
+  const address = chooseReportAddress(state)
+  if (address === undefined) return
+  const own = buildReport(state)
+  const inFlight = listInFlight(own)
+  const report = addCollectedLoad(state, own)
+  state.reportedTo = address
   if (state.granting.role === 'leading') {
     applyReport(work, report)
-    applyFleetLoad(work, buildFleetLoad(state, state.identity.host), listInFlight(report))
+    applyFleetLoad(work, buildFleetLoad(state, state.identity.host), inFlight)
     return
   }
-  work.effects.push({ kind: 'report-load', address: state.grantingHost.address, report })
+  work.effects.push({ kind: 'report-load', address, report, inFlight })
 }
 
 /** Notifies the previous granting host of its successor: without the store, it continues to renew grants until it learns that it was replaced. */
@@ -48,13 +52,15 @@
   const { state } = work
   const former = state.reportedTo
   if (former === undefined || state.grantingHost === undefined || former === state.grantingHost.address || former === state.identity.address) return
-  work.effects.push({ kind: 'report-load', address: former, report: { ...buildReportHead(state), backends: [], keys: [], renewed: [] } })
+  // A collector reports to the former granting host itself.
+  if (former === state.collector?.address) return
+  work.effects.push({ kind: 'report-load', address: former, report: { ...buildReportHead(state), backends: [], keys: [], renewed: [] }, inFlight: new Map() })
 }
 
 /** Schedules the next report earlier when requests in flight at a backend server grow fast. */
 export function scheduleEarlyReport (state: GatewayState, backend: Backend): void {
   if (backend.inFlight - backend.inFlightAtReport < earlyReportGrowth) return
-  const spacingMs = Math.max(earlyReportMs, state.hosts * reportMsPerHost / 3)
+  const spacingMs = Math.max(earlyReportMs, state.reporters * reportMsPerHost / 3)
   state.reportAt = Math.min(state.reportAt, state.reportedAt + spacingMs)
 }
 
@@ -66,6 +72,7 @@
     backend.answeredSinceReport = 0
     backend.serviceMsSinceReport = 0
   }
+  for (const [service, counts] of state.collecting.collected.keyCounts) addKeyCounts(state.keyCounts, service, counts)
   const keys = [...state.keyCounts].map(([service, counts]) => {
     const bounded = boundKeys(counts)
     return { service, keys: [...bounded.keys()], counts: [...bounded.values()] }
@@ -76,7 +83,23 @@
 
 function buildReportHead (state: GatewayState): Omit<LoadReport, 'backends' | 'keys' | 'renewed'> {
   const granting = state.grantingHost === undefined ? undefined : { host: state.grantingHost, revision: state.grantingRevision }
-  return { host: state.identity.host, zone: state.identity.zone, placement: state.placementVersion, wantsPlacement: state.wantsPlacement, storeRevision: state.storeRevision, granting }
+  return {
+    host: state.identity.host,
+    zone: state.identity.zone,
+    // A host that is stopping can't be a collector.
+    address: state.stop.phase === 'serving' ? state.identity.address : '',
+    processorShare: state.identity.processorShare,
+    placement: state.placementVersion,
+    wantsPlacement: state.wantsPlacement,
+    storeRevision: state.storeRevision,
+    granting
+  }
+}
+
+function addKeyCounts (keyCounts: GatewayState['keyCounts'], service: string, counts: ReadonlyMap<number, number>): void {
+  const known = keyCounts.get(service) ?? new Map<number, number>()
+  keyCounts.set(service, known)
+  for (const [key, count] of counts) known.set(key, (known.get(key) ?? 0) + count)
 }
 
 /** Bounds the keys of a report: beyond the limit, the least requested keys are summed into buckets of adjacent keys. */
@@ -102,7 +125,7 @@
   const { granting, now } = work.state
   if (granting.role !== 'leading') return
   sendMissedPlacement(work, report)
-  addReport(work.state, report.host, listInFlight(report))
+  addReport(granting, now, report.host, listInFlight(report), report.hosts)
   for (const backend of report.backends) {
     if (backend.answered === 0) continue
     const known = granting.serviceTimes.get(backend.id) ?? { sum: 0, count: 0, at: now }
@@ -144,7 +167,7 @@
  */
 export function buildFleetLoad (state: GatewayState, host: string, clocks: Clocks = { now: state.now, wall: state.wall }): FleetLoad {
   const { granting } = state
-  const hosts = granting.reports.size
+  const hosts = granting.hostCount
   const expected = state.now - granting.leaderSince < allReportedMs ? Math.max(hosts, granting.expectedHosts) : hosts
   const missingHosts = expected - hosts
   const backends: FleetLoad['backends'] = []
@@ -155,7 +178,18 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host) }
+  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), reporters: granting.reports.size, collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
+}
+
+/** Builds the answer to a host's report; undefined when hosts should not report to this one. */
+export function buildLoadAnswer (state: GatewayState, host: string, clocks: Clocks): FleetLoad | undefined {
+  return state.granting.role === 'leading' ? buildFleetLoad(state, host, clocks) : buildCollectorAnswer(state, host, clocks)
+}
+
+/** Finds the collector of a host's zone. */
+function findCollector ({ granting }: GatewayState, host: string): GrantingHost | undefined {
+  const zone = granting.renewers.get(host)?.zone
+  return zone === undefined ? undefined : granting.collectors.get(zone)
 }
 
 /** Builds the load figures that hosts use after their start until they have measured their own. */
@@ -188,13 +222,15 @@
 export function applyFleetLoad (work: GatewayWork, load: FleetLoad, reported: Map<string, number>): void {
   const { state } = work
   state.hosts = Math.max(1, load.hosts)
-  state.loadReadAt = state.now
+  state.reporters = Math.max(1, load.reporters ?? load.hosts)
+  state.loadReadAt = state.now - (load.loadAgeMs ?? 0)
   const known = new Map(load.backends.map(backend => [backend.id, backend]))
   for (const backend of state.backends.values()) {
     const fleetView = known.get(backend.id)
     backend.othersInFlight = fleetView?.inFlight ?? 0
     backend.admitShare = fleetView?.admitShare ?? 1
     backend.inFlightAtReport = reported.get(backend.id) ?? 0
+    backend.fleetServiceMs = fleetView?.serviceMs ?? 0
     if (fleetView !== undefined && fleetView.serviceMs > 0) backend.serviceMs += (fleetView.serviceMs - backend.serviceMs) * fleetWeight
   }
 }
--- a/src/core/gateway/loadTotals.ts
+++ b/src/core/gateway/loadTotals.ts
@@ -1,40 +1,53 @@
-import type { GrantingState } from './grantingState.js'
-import type { GatewayState } from './state.js'
 import { reportRetentionMs } from './limits.js'
 
-/** Adds the requests in flight of a host's report, in place of those of its previous report. */
-export function addReport (state: GatewayState, host: string, inFlight: Map<string, number>): void {
-  const { granting, now } = state
-  dropReport(granting, host)
+/** Last load reports of several hosts, with their sums. */
+export type LoadTotals = {
+  /** Last report of each reporting host, oldest first; `hosts`: number of hosts that it speaks for. */
+  reports: Map<string, { at: number, inFlight: Map<string, number>, hosts: number }>
+  /** Requests in flight at each backend server, summed over the reports. */
+  inFlight: Map<string, number>
+  /** Number of hosts that the reports speak for. */
+  hostCount: number
+}
+
+/** Builds totals without any report. */
+export function buildLoadTotals (): LoadTotals {
+  return { reports: new Map(), inFlight: new Map(), hostCount: 0 }
+}
+
+/** Adds the requests in flight of a report at time `now`, in place of those of the host's previous report. */
+export function addReport (totals: LoadTotals, now: number, host: string, inFlight: Map<string, number>, hosts = 1): void {
+  dropReport(totals, host)
   // The map stays ordered by time of arrival, since the previous report of the host has been deleted.
-  granting.reports.set(host, { at: now, inFlight })
-  for (const [id, count] of inFlight) addInFlight(granting, id, count)
+  totals.reports.set(host, { at: now, inFlight, hosts })
+  totals.hostCount += hosts
+  for (const [id, count] of inFlight) addInFlight(totals, id, count)
 }
 
 /** Drops the reports of hosts that have not reported for too long. */
-export function dropExpiredReports (state: GatewayState): void {
-  const { granting, now } = state
-  for (const [host, report] of granting.reports) {
+export function dropExpiredReports (totals: LoadTotals, now: number): void {
+  for (const [host, report] of totals.reports) {
     if (now - report.at <= reportRetentionMs) return
-    dropReport(granting, host)
+    dropReport(totals, host)
   }
 }
 
 /** Counts the requests in flight at a backend server in the last reports of all hosts but `excludedHost`. */
-export function countInFlight (granting: GrantingState, id: string, excludedHost?: string): number {
-  const own = excludedHost === undefined ? 0 : granting.reports.get(excludedHost)?.inFlight.get(id) ?? 0
-  return (granting.inFlight.get(id) ?? 0) - own
+export function countInFlight (totals: LoadTotals, id: string, excludedHost?: string): number {
+  const own = excludedHost === undefined ? 0 : totals.reports.get(excludedHost)?.inFlight.get(id) ?? 0
+  return (totals.inFlight.get(id) ?? 0) - own
 }
 
-function dropReport (granting: GrantingState, host: string): void {
-  const known = granting.reports.get(host)
+function dropReport (totals: LoadTotals, host: string): void {
+  const known = totals.reports.get(host)
   if (known === undefined) return
-  granting.reports.delete(host)
-  for (const [id, count] of known.inFlight) addInFlight(granting, id, -count)
+  totals.reports.delete(host)
+  totals.hostCount -= known.hosts
+  for (const [id, count] of known.inFlight) addInFlight(totals, id, -count)
 }
 
-function addInFlight (granting: GrantingState, id: string, count: number): void {
-  const sum = (granting.inFlight.get(id) ?? 0) + count
-  if (sum === 0) granting.inFlight.delete(id)
-  else granting.inFlight.set(id, sum)
+function addInFlight (totals: LoadTotals, id: string, count: number): void {
+  const sum = (totals.inFlight.get(id) ?? 0) + count
+  if (sum === 0) totals.inFlight.delete(id)
+  else totals.inFlight.set(id, sum)
 }
--- a/src/core/gateway/publishing.ts
+++ b/src/core/gateway/publishing.ts
@@ -17,5 +17,5 @@
   work.effects.push({ kind: 'publish-placement', change: buildPlacementChange(granting.published, next), host: undefined })
   granting.published = next
   granting.workingCopy = undefined
-  granting.publishAt = state.now + computePublishMs(state.hosts)
+  granting.publishAt = state.now + computePublishMs(state.reporters)
 }
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -5,11 +5,12 @@
 import type { GatewayState, GatewayWork } from './state.js'
 import { applyDeregistration, applyRegistration, removeExpiredBackends } from './backends.js'
 import { advanceChangeLags, recordChangeLag } from './changeLags.js'
+import { applyCollectedReport } from './collecting.js'
 import { chooseGatewayLane } from './eventLane.js'
 import { advanceGranting, advanceAfterWrite } from './granting.js'
 import { applyGrantResult, applyReleaseResult } from './grantSteps.js'
 import { advanceLeadership, applyClaimResult, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
-import { idleTickMs, minExpiryOutageMs } from './limits.js'
+import { gatewayTickMs, idleTickMs, minExpiryOutageMs } from './limits.js'
 import { advanceReport, applyReport } from './loadExchange.js'
 import { dropExpiredReports } from './loadTotals.js'
 import { updateStoreSource, computeRelayFreshUntil, handleExchangeEnd, handleFleetLoad, handlePlacementChange } from './storeSource.js'
@@ -17,7 +18,7 @@
 import { isSameVersion } from './placementChange.js'
 import { applyPlacementWrite, setPlacement } from './placementWriting.js'
 import { acceptRequest, advanceWaiting, dropStaleFences } from './requestDispatch.js'
-import { applyRenewerReport } from './renewerAssignment.js'
+import { advanceCollectors, applyRenewerReport } from './renewerAssignment.js'
 import { advanceRenewing, applyRenewalResult } from './delegatedRenewals.js'
 import { advancePublishing } from './publishing.js'
 import { advanceRelay } from './relaying.js'
@@ -74,7 +75,7 @@
     case 'load-reported': return applyHostReport(work, event.report)
     case 'fleet-load-read': return handleFleetLoad(work, event)
     case 'placement-changed': return handlePlacementChange(work, event.change, rules)
-    case 'exchange-ended': return handleExchangeEnd(work)
+    case 'exchange-ended': return handleExchangeEnd(work, event.address)
     case 'stop-asked': return startStop(work, event.graceMs)
     case 'callers-closed': return handleCallersClosed(work)
   }
@@ -82,15 +83,24 @@
 
 function applyHostReport (work: GatewayWork, report: LoadReport): void {
   applyReportedGrantingHost(work, report)
+  for (const member of report.members ?? []) applyReportedGrantingHost(work, member)
   applyReport(work, report)
+  applyCollectedReport(work, report)
   applyRenewerReport(work, report)
 }
 
-/** Whether a tick is needed now: an idle host needs few, and each one costs processor time. */
-export function isTickDue (state: GatewayState, now: number, tickedAt: number): boolean {
+/** Computes when the tick after the one at `tickedAt` is due: an idle host needs few, and each one wakes its process. */
+export function computeNextTickAt (state: GatewayState, tickedAt: number): number {
+  const earliestAt = tickedAt + gatewayTickMs
   const isBusy = state.granting.role !== 'follower' || state.grantingHost === undefined || state.waiting.size > 0 || state.stop.phase !== 'serving'
-  const isStale = state.storeSource === 'told' && now >= computeRelayFreshUntil(state)
-  return isBusy || isStale || now >= state.reportAt || now - tickedAt >= idleTickMs
+  if (isBusy) return earliestAt
+  const staleAt = state.storeSource === 'told' ? computeRelayFreshUntil(state) : Infinity
+  return Math.max(earliestAt, Math.min(tickedAt + idleTickMs, state.reportAt, staleAt))
+}
+
+/** Whether a tick is due now. */
+export function isTickDue (state: GatewayState, now: number, tickedAt: number): boolean {
+  return now >= computeNextTickAt(state, tickedAt)
 }
 
 function tickGateway (work: GatewayWork, rules: GatewayRules): void {
@@ -100,8 +110,10 @@
   advanceLeadership(work)
   advancePublishing(work)
   advanceRelay(work)
-  dropExpiredReports(work.state)
+  dropExpiredReports(work.state.granting, work.state.now)
+  dropExpiredReports(work.state.collecting, work.state.now)
   advanceGranting(work, rules)
+  advanceCollectors(work, rules)
   advanceRenewing(work)
   advanceReport(work)
   updateStoreSource(work)
--- a/src/core/gateway/renewalState.ts
+++ b/src/core/gateway/renewalState.ts
@@ -1,8 +1,14 @@
 import type { KeyRange, PlacementVersion } from './model.js'
 
-/** A host that renews grants for the granting host, as the granting host knows it. */
+/** A host that reports and may renew grants for the granting host, as the granting host knows it. */
 export type RenewerHost = {
   zone: string
+  /** Address for the exchange between hosts; empty while the host can't be a collector. */
+  address: string
+  processorShare: number
+  isCollecting: boolean
+  /** Collector through which it reports; undefined when it reports directly. */
+  collector: string | undefined
   reportedAt: number
   /** Version of the placement in its last report. */
   placement: PlacementVersion
--- a/src/core/gateway/renewerAssignment.ts
+++ b/src/core/gateway/renewerAssignment.ts
@@ -1,4 +1,6 @@
-import type { LoadReport } from './events.js'
+import type { LoadReport, MemberReport } from './events.js'
+import type { CollectorCandidate } from './collectorChoice.js'
+import type { GatewayRules } from './rules.js'
 import type { RenewerHost } from './renewalState.js'
 import type { GrantingState, ManagedGrant } from './grantingState.js'
 import type { GatewayState, GatewayWork } from './state.js'
@@ -14,17 +16,41 @@
 
 /** Applies a host's report: the placement that it uses, and the grants that it has renewed. */
 export function applyRenewerReport (work: GatewayWork, report: LoadReport): void {
-  const { granting, identity, reducedAt: receivedAt } = work.state
+  const { granting, identity } = work.state
   if (granting.role !== 'leading' || report.host === identity.host) return
+  applyRenewer(work, { ...report, ageMs: 0 }, undefined)
+  granting.renewers.get(report.host)!.isCollecting = report.isCollecting === true
+  for (const member of report.members ?? []) applyRenewer(work, member, report.host)
+  // The answer to this report asks these hosts to renew the grants of their owners.
+  for (const [host, renewer] of granting.renewers) {
+    if (host !== report.host && renewer.collector !== report.host) continue
+    for (const owner of renewer.owners) recordPossibleRenewer(work.state, owner, host)
+  }
+}
+
+function applyRenewer (work: GatewayWork, report: MemberReport, collector: string | undefined): void {
+  const { granting, reducedAt, identity } = work.state
+  if (report.host === identity.host) return
+  const reportedAt = reducedAt - report.ageMs
+  const { zone, placement, address = '', processorShare = 0 } = report
   const known = granting.renewers.get(report.host)
-  const renewer: RenewerHost = known ?? { zone: report.zone, reportedAt: receivedAt, placement: report.placement, owners: new Set() }
+  // A host that has changed its collector may be named by the former one for a moment.
+  if (known !== undefined && reportedAt < known.reportedAt) return
+  const renewer: RenewerHost = known ?? { zone, address, processorShare, isCollecting: false, collector, reportedAt, placement, owners: new Set() }
   granting.renewers.set(report.host, renewer)
-  Object.assign(renewer, { zone: report.zone, reportedAt: receivedAt, placement: report.placement })
-  // The answer to this report asks the host to renew the grants of these owners.
-  for (const owner of renewer.owners) recordPossibleRenewer(work.state, owner, report.host)
+  Object.assign(renewer, { zone, address, processorShare, collector, reportedAt, placement })
   if (report.renewed.length > 0) applyConfirmedRenewals(work, report.renewed)
 }
 
+/** Lists the owners whose grants the hosts that report to a collector are asked to renew. */
+export function listMemberRenewals ({ granting }: GatewayState, collector: string): Array<{ host: string, owners: string[] }> {
+  const members: Array<{ host: string, owners: string[] }> = []
+  for (const [host, renewer] of granting.renewers) {
+    if (renewer.collector === collector && renewer.owners.size > 0) members.push({ host, owners: [...renewer.owners] })
+  }
+  return members
+}
+
 /** Records that a host may receive a request now to renew the grants of an owner. */
 function recordPossibleRenewer (state: GatewayState, owner: string, host: string): void {
   const { renewableUntil } = state.granting
@@ -79,6 +105,19 @@
   return false
 }
 
+/** Chooses the collectors of the availability zones from the hosts that report. */
+export function advanceCollectors (work: GatewayWork, rules: GatewayRules): void {
+  const { state } = work
+  const { granting, identity, now } = state
+  if (granting.role !== 'leading' || now < granting.chooseCollectorsAt) return
+  granting.chooseCollectorsAt = now + chooseRenewersMs
+  const candidates: CollectorCandidate[] = []
+  for (const [host, renewer] of granting.renewers) {
+    if (now - renewer.reportedAt <= computeRenewerTimeoutMs(state)) candidates.push({ host, ...renewer })
+  }
+  granting.collectors = rules.chooseCollectors(candidates, identity, granting.collectors)
+}
+
 /** Assigns each owner a nearby host that renews its grants; each host gets a bounded number of owners. */
 export function chooseRenewers (work: GatewayWork): void {
   const { state } = work
@@ -104,8 +143,8 @@
 
 /** Lists the hosts that still report. Drops the assignments of the others, and those for owners without grants. */
 function listReportingRenewers (state: GatewayState, owners: ReadonlySet<string>): Array<[string, RenewerHost]> {
-  const { granting, now, hosts } = state
-  const timeoutMs = Math.max(minRenewerTimeoutMs, computeReportMs(hosts) * renewerTimeoutReports)
+  const { granting, now } = state
+  const timeoutMs = computeRenewerTimeoutMs(state)
   const reporting: Array<[string, RenewerHost]> = []
   for (const [host, renewer] of granting.renewers) {
     const hasTimedOut = now - renewer.reportedAt > timeoutMs
@@ -118,6 +157,11 @@
   return reporting
 }
 
+/** Computes the time without a report after which a host is no longer relied on, in milliseconds. */
+function computeRenewerTimeoutMs (state: GatewayState): number {
+  return Math.max(minRenewerTimeoutMs, computeReportMs(state.hosts) * renewerTimeoutReports)
+}
+
 /** Drops the renewer of an owner; until now, it may have received requests to renew the grants of this owner. */
 function dropRenewer (state: GatewayState, host: string, owner: string): void {
   recordPossibleRenewer(state, owner, host)
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -1,4 +1,5 @@
 import type { ChangeLags } from './changeLags.js'
+import type { CollectingState } from './collectingState.js'
 import type { GrantingState } from './grantingState.js'
 import type { Lane } from '../lane.js'
 import type { GatewayEffect } from './effects.js'
@@ -9,6 +10,7 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { buildChangeLags } from './changeLags.js'
+import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
 import { buildRenewalState } from './renewalState.js'
 import { buildStop } from './stop.js'
@@ -54,6 +56,8 @@
   inFlightAtReport: number
   /** Smoothed time for which one request occupies a slot, in milliseconds. */
   serviceMs: number
+  /** Mean of that time over the fleet, as last received; 0 while it is unknown. */
+  fleetServiceMs: number
   sampleCount: number
   avoidUntil: number
   /** Share of the requests for its keys that may be sent to it; below 1 while it is overloaded. */
@@ -140,7 +144,14 @@
   reportAt: number
   reportedAt: number
   hosts: number
+  /** Number of hosts that report to the same host as this one. */
+  reporters: number
   loadReadAt: number
+  /** Host of this zone to which this one reports instead of the granting host. */
+  collector: GrantingHost | undefined
+  /** Until when this host reports to the granting host whatever collector it names. */
+  collectorAvoidedUntil: number
+  collecting: CollectingState
   granting: GrantingState
   renewing: RenewalState
   /** Smoothed time that owners take to answer a grant, in milliseconds. */
@@ -198,7 +209,11 @@
     reportAt: now,
     reportedAt: now,
     hosts: 1,
+    reporters: 1,
     loadReadAt: -Infinity,
+    collector: undefined,
+    collectorAvoidedUntil: -Infinity,
+    collecting: buildCollectingState(now),
     granting: buildGrantingState(now),
     renewing: buildRenewalState(),
     grantAnswerMs: 0
--- a/src/core/gateway/storeFreshness.ts
+++ b/src/core/gateway/storeFreshness.ts
@@ -1,6 +1,7 @@
 import type { ChangeKind } from './changeLags.js'
 import type { GatewayState } from './state.js'
 import { minSuspensionMs } from './limits.js'
+import { findRelay } from './relaying.js'
 
 /** Readings of both clocks at one moment, in milliseconds: the monotonic clock stops while the process is suspended, the wall clock does not. */
 export type Clocks = { now: number, wall: number }
@@ -34,11 +35,15 @@
   state.knownAsOf -= suspendedMs
   state.receivedAsOf -= suspendedMs
   state.granting.relayedAsOf -= suspendedMs
+  state.collecting.relayedAsOf -= suspendedMs
+  for (const renewals of state.collecting.renewals.values()) renewals.askedAt -= suspendedMs
   state.disruptedAt = clocks.now
 }
 
 /** Computes the age of the oldest change that the store may have acknowledged and that was not relayed to the other hosts, in milliseconds. */
-export function computeStoreAgeMs ({ granting, storeRevision, knownAsOf, clocks: last }: GatewayState, clocks: Clocks): number {
-  const asOf = storeRevision <= granting.relayedRevision ? knownAsOf : granting.relayedAsOf
+export function computeStoreAgeMs (state: GatewayState, clocks: Clocks): number {
+  const { storeRevision, knownAsOf, clocks: last } = state
+  const relay = findRelay(state) ?? state.granting
+  const asOf = storeRevision <= relay.relayedRevision ? knownAsOf : relay.relayedAsOf
   return clocks.now - asOf + computeSuspendedMs(last, clocks)
 }
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -2,7 +2,8 @@
 import type { PlacementChange } from './model.js'
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
-import { computeRelayFreshMs } from './limits.js'
+import { applyCollectorChoice, dropCollector, keepMemberRenewals } from './collecting.js'
+import { computeRelayFreshMs, maxRelayFreshMs } from './limits.js'
 import { applyFleetLoad } from './loadExchange.js'
 import { setPlacement } from './placementWriting.js'
 import { applyPlacementChange, isLaterVersion, isSameVersion } from './placementChange.js'
@@ -33,7 +34,8 @@
 
 /** Computes until when this host relies on the changes relayed by the granting host, counted from the time up to which they are complete. */
 export function computeRelayFreshUntil (state: GatewayState): number {
-  return state.receivedAsOf + computeRelayFreshMs(state.hosts)
+  // What a collector relays is older by its own exchange with the granting host.
+  return state.receivedAsOf + (state.collector === undefined ? computeRelayFreshMs(state.hosts) : maxRelayFreshMs)
 }
 
 /** Applies what the granting host reports about its own progress in the store's changes and the placement. */
@@ -57,6 +59,7 @@
   }
   state.wantsPlacement = false
   setPlacement(work, applyPlacementChange(state.placement, change), change.next)
+  if (state.collecting.role === 'collecting') work.effects.push({ kind: 'publish-placement', change, host: undefined })
   advanceWaiting(work, rules, change.base === undefined ? undefined : change.changes)
 }
 
@@ -66,9 +69,10 @@
   state.reportAt = state.now
 }
 
-/** Handles the end of the exchange with the granting host: its relayed changes are no longer relied on. */
-export function handleExchangeEnd (work: GatewayWork): void {
+/** Handles the end of the exchange with the granting host or the collector: its relayed changes are no longer relied on. */
+export function handleExchangeEnd (work: GatewayWork, address: string | undefined): void {
   work.state.receivedAsOf = -Infinity
+  dropCollector(work, address)
 }
 
 /** Handles the granting host's answer to this host's report. */
@@ -76,6 +80,8 @@
   applyGrantingHostProgress(work, event.load, event.reportedAt)
   // A host that has missed a change might renew grants of keys that are moving to another owner.
   const isBehind = isLaterVersion(event.load.placement, work.state.placementVersion)
-  applyRenewalRequest(work.state, isBehind ? [] : event.load.renewals, event.reportedAt)
+  applyRenewalRequest(work.state, isBehind ? [] : event.load.renewals, event.reportedAt - (event.load.renewalsAgeMs ?? 0))
+  keepMemberRenewals(work.state, isBehind ? { ...event.load, memberRenewals: [] } : event.load, event.reportedAt)
   applyFleetLoad(work, event.load, event.reported)
+  applyCollectorChoice(work, event.load)
 }
--- a/src/protocol/fleetUpdate.ts
+++ b/src/protocol/fleetUpdate.ts
@@ -1,7 +1,7 @@
-import type { FleetLoad, LoadReport } from '../core/gateway/events.js'
+import type { FleetLoad, LoadReport, MemberReport } from '../core/gateway/events.js'
 import type { KeyOwner, KeyRange, PlacementChange, PlacementVersion } from '../core/gateway/model.js'
 import type { RelayedChanges } from '../core/gateway/storeView.js'
-import type { ChangedRange, FleetLoadView, KeyHolder, PlacementChange as WireChange, StoreChanges, LoadReport as WireReport } from './gen/peer.js'
+import type { ChangedRange, FleetLoadView, KeyHolder, PlacementChange as WireChange, StoreChanges, KnownGrantingHost as WireGrantingHost, LoadReport as WireReport, MemberReport as WireMember } from './gen/peer.js'
 
 /** Encodes a host's load report. */
 export function encodeLoadReport (report: LoadReport): WireReport {
@@ -12,12 +12,34 @@
     placement: report.placement,
     wantsPlacement: report.wantsPlacement,
     storeRevision: report.storeRevision,
-    granting: report.granting === undefined ? undefined : { ...report.granting.host, revision: report.granting.revision },
+    granting: encodeGranting(report.granting),
     zone: report.zone,
-    renewed: report.renewed
+    renewed: report.renewed,
+    address: report.address ?? '',
+    processorMillicores: encodeProcessorShare(report.processorShare),
+    hosts: report.hosts ?? 0,
+    isCollecting: report.isCollecting ?? false,
+    members: (report.members ?? []).map(encodeMember)
   }
 }
 
+function encodeMember (member: MemberReport): WireMember {
+  const { host, zone, placement, granting, renewed, address = '', processorShare, ageMs } = member
+  return { host, zone, placement, granting: encodeGranting(granting), renewed, address, processorMillicores: encodeProcessorShare(processorShare), ageMs }
+}
+
+function encodeProcessorShare (cores: number | undefined): number {
+  return Math.round((cores ?? 0) * 1000)
+}
+
+function encodeGranting (granting: LoadReport['granting']): WireGrantingHost | undefined {
+  return granting === undefined ? undefined : { ...granting.host, revision: granting.revision }
+}
+
+function decodeGranting (granting: WireGrantingHost | undefined): LoadReport['granting'] {
+  return granting === undefined ? undefined : { host: { host: granting.host, address: granting.address }, revision: granting.revision }
+}
+
 /** Decodes a host's load report. */
 export function decodeLoadReport (message: WireReport): LoadReport {
   return {
@@ -27,12 +49,22 @@
     placement: decodeVersion(message.placement),
     wantsPlacement: message.wantsPlacement,
     storeRevision: message.storeRevision,
-    granting: message.granting === undefined ? undefined : { host: { host: message.granting.host, address: message.granting.address }, revision: message.granting.revision },
+    granting: decodeGranting(message.granting),
     zone: message.zone,
-    renewed: message.renewed
+    renewed: message.renewed,
+    address: message.address,
+    processorShare: message.processorMillicores / 1000,
+    hosts: Math.max(1, message.hosts),
+    isCollecting: message.isCollecting,
+    members: message.members.map(decodeMember)
   }
 }
 
+function decodeMember (message: WireMember): MemberReport {
+  const { host, zone, renewed, address, processorMillicores, ageMs } = message
+  return { host, zone, placement: decodeVersion(message.placement), granting: decodeGranting(message.granting), renewed, address, processorShare: processorMillicores / 1000, ageMs }
+}
+
 /** Load of one backend server in a view. */
 type ViewEntry = FleetLoad['backends'][number]
 /** Latest load of each backend server in the views sent over a stream, by id; each end keeps its own copy. */
@@ -69,6 +101,11 @@
     storeAgeMs: Math.min(maxStoreAgeMs, Math.ceil(load.storeAgeMs)),
     placement: load.placement,
     renewals: load.renewals,
+    renewalsAgeMs: Math.ceil(load.renewalsAgeMs ?? 0),
+    loadAgeMs: Math.ceil(load.loadAgeMs ?? 0),
+    reporters: load.reporters ?? 0,
+    collector: load.collector,
+    memberRenewals: load.memberRenewals ?? [],
     backends: changed.map(entry => ({
       backend: entry.id,
       inFlight: entry.inFlight,
@@ -92,7 +129,19 @@
     if (entry.inFlight === 0 && entry.serviceMs === 0) receivedEntries.delete(entry.backend)
     else receivedEntries.set(entry.backend, { id: entry.backend, inFlight: entry.inFlight, serviceMs: entry.serviceMs, admitShare })
   }
-  return { hosts: view.hosts, storeRevision: view.storeRevision, storeAgeMs: view.storeAgeMs, placement: decodeVersion(view.placement), backends: [...receivedEntries.values()], renewals: view.renewals }
+  return {
+    hosts: view.hosts,
+    storeRevision: view.storeRevision,
+    storeAgeMs: view.storeAgeMs,
+    placement: decodeVersion(view.placement),
+    backends: [...receivedEntries.values()],
+    renewals: view.renewals,
+    renewalsAgeMs: view.renewalsAgeMs,
+    loadAgeMs: view.loadAgeMs,
+    reporters: view.reporters === 0 ? view.hosts : view.reporters,
+    collector: view.collector,
+    memberRenewals: view.memberRenewals
+  }
 }
 
 /** Encodes a placement change. */
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -360,6 +360,28 @@
   zone: string;
   /** Grants that the sender renews for the granting host. */
   renewed: RenewedGrant[];
+  /** Address of the sender for this exchange; empty while it can't be a collector. */
+  address: string;
+  /** Processor time available to the sender, in thousandths of a core. */
+  processorMillicores: number;
+  /** Number of hosts whose load the report contains; 0 stands for 1. */
+  hosts: number;
+  /** Whether hosts of the sender's zone report to it. */
+  isCollecting: boolean;
+  /** Reports of these hosts, without load, that arrived since the previous report. */
+  members: MemberReport[];
+}
+
+/** Report of a host that its collector passes on; age_ms is the time since it arrived there, in milliseconds. */
+export interface MemberReport {
+  host: string;
+  zone: string;
+  placement?: PlacementVersion | undefined;
+  granting?: KnownGrantingHost | undefined;
+  renewed: RenewedGrant[];
+  address: string;
+  processorMillicores: number;
+  ageMs: number;
 }
 
 /** A grant, with the time since the last confirmed renewal was sent, in milliseconds (age_ms). */
@@ -403,6 +425,28 @@
   renewals: string[];
   /** Age of the oldest change that the store may have acknowledged and the sender has not relayed, in milliseconds. */
   storeAgeMs: number;
+  /** Time since a report was sent that the granting host answered with these owners, in milliseconds. */
+  renewalsAgeMs: number;
+  /** Age of the load figures, in milliseconds. */
+  loadAgeMs: number;
+  /** Number of hosts that report to the sender directly; 0 stands for all hosts. */
+  reporters: number;
+  /** Host of the receiver's zone to which it reports from now on, possibly the receiver itself. */
+  collector?:
+    | Collector
+    | undefined;
+  /** Owners whose grants the hosts that report to the receiver are asked to renew. */
+  memberRenewals: MemberRenewals[];
+}
+
+export interface Collector {
+  host: string;
+  address: string;
+}
+
+export interface MemberRenewals {
+  host: string;
+  owners: string[];
 }
 
 /** Load of one backend server: requests in flight from other hosts, and the time for which a request occupies a slot. */
@@ -3733,6 +3777,11 @@
     granting: undefined,
     zone: "",
     renewed: [],
+    address: "",
+    processorMillicores: 0,
+    hosts: 0,
+    isCollecting: false,
+    members: [],
   };
 }
 
@@ -3765,6 +3814,21 @@
     for (const v of message.renewed) {
       RenewedGrant.encode(v!, writer.uint32(74).fork()).join();
     }
+    if (message.address !== "") {
+      writer.uint32(82).string(message.address);
+    }
+    if (message.processorMillicores !== 0) {
+      writer.uint32(88).uint32(message.processorMillicores);
+    }
+    if (message.hosts !== 0) {
+      writer.uint32(96).uint32(message.hosts);
+    }
+    if (message.isCollecting !== false) {
+      writer.uint32(104).bool(message.isCollecting);
+    }
+    for (const v of message.members) {
+      MemberReport.encode(v!, writer.uint32(114).fork()).join();
+    }
     return writer;
   },
 
@@ -3853,6 +3917,178 @@
             message.renewed.push(RenewedGrant.decode(reader, reader.uint32()));
             continue;
           }
+          case 10: {
+            if (tag !== 82) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+          case 11: {
+            if (tag !== 88) {
+              break;
+            }
+
+            message.processorMillicores = reader.uint32();
+            continue;
+          }
+          case 12: {
+            if (tag !== 96) {
+              break;
+            }
+
+            message.hosts = reader.uint32();
+            continue;
+          }
+          case 13: {
+            if (tag !== 104) {
+              break;
+            }
+
+            message.isCollecting = reader.bool();
+            continue;
+          }
+          case 14: {
+            if (tag !== 114) {
+              break;
+            }
+
+            message.members.push(MemberReport.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseMemberReport(): MemberReport {
+  return {
+    host: "",
+    zone: "",
+    placement: undefined,
+    granting: undefined,
+    renewed: [],
+    address: "",
+    processorMillicores: 0,
+    ageMs: 0,
+  };
+}
+
+export const MemberReport: MessageFns<MemberReport> = {
+  encode(message: MemberReport, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.host !== "") {
+      writer.uint32(10).string(message.host);
+    }
+    if (message.zone !== "") {
+      writer.uint32(18).string(message.zone);
+    }
+    if (message.placement !== undefined) {
+      PlacementVersion.encode(message.placement, writer.uint32(26).fork()).join();
+    }
+    if (message.granting !== undefined) {
+      KnownGrantingHost.encode(message.granting, writer.uint32(34).fork()).join();
+    }
+    for (const v of message.renewed) {
+      RenewedGrant.encode(v!, writer.uint32(42).fork()).join();
+    }
+    if (message.address !== "") {
+      writer.uint32(50).string(message.address);
+    }
+    if (message.processorMillicores !== 0) {
+      writer.uint32(56).uint32(message.processorMillicores);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(64).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): MemberReport {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseMemberReport();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.host = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.zone = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.placement = PlacementVersion.decode(reader, reader.uint32());
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.granting = KnownGrantingHost.decode(reader, reader.uint32());
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.renewed.push(RenewedGrant.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.processorMillicores = reader.uint32();
+            continue;
+          }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4189,7 +4425,19 @@
 };
 
 function createBaseFleetLoadView(): FleetLoadView {
-  return { hosts: 0, backends: [], storeRevision: 0, placement: undefined, renewals: [], storeAgeMs: 0 };
+  return {
+    hosts: 0,
+    backends: [],
+    storeRevision: 0,
+    placement: undefined,
+    renewals: [],
+    storeAgeMs: 0,
+    renewalsAgeMs: 0,
+    loadAgeMs: 0,
+    reporters: 0,
+    collector: undefined,
+    memberRenewals: [],
+  };
 }
 
 export const FleetLoadView: MessageFns<FleetLoadView> = {
@@ -4212,6 +4460,21 @@
     if (message.storeAgeMs !== 0) {
       writer.uint32(56).uint32(message.storeAgeMs);
     }
+    if (message.renewalsAgeMs !== 0) {
+      writer.uint32(64).uint32(message.renewalsAgeMs);
+    }
+    if (message.loadAgeMs !== 0) {
+      writer.uint32(72).uint32(message.loadAgeMs);
+    }
+    if (message.reporters !== 0) {
+      writer.uint32(80).uint32(message.reporters);
+    }
+    if (message.collector !== undefined) {
+      Collector.encode(message.collector, writer.uint32(90).fork()).join();
+    }
+    for (const v of message.memberRenewals) {
+      MemberRenewals.encode(v!, writer.uint32(98).fork()).join();
+    }
     return writer;
   },
 
@@ -4276,6 +4539,160 @@
             message.storeAgeMs = reader.uint32();
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.renewalsAgeMs = reader.uint32();
+            continue;
+          }
+          case 9: {
+            if (tag !== 72) {
+              break;
+            }
+
+            message.loadAgeMs = reader.uint32();
+            continue;
+          }
+          case 10: {
+            if (tag !== 80) {
+              break;
+            }
+
+            message.reporters = reader.uint32();
+            continue;
+          }
+          case 11: {
+            if (tag !== 90) {
+              break;
+            }
+
+            message.collector = Collector.decode(reader, reader.uint32());
+            continue;
+          }
+          case 12: {
+            if (tag !== 98) {
+              break;
+            }
+
+            message.memberRenewals.push(MemberRenewals.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseCollector(): Collector {
+  return { host: "", address: "" };
+}
+
+export const Collector: MessageFns<Collector> = {
+  encode(message: Collector, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.host !== "") {
+      writer.uint32(10).string(message.host);
+    }
+    if (message.address !== "") {
+      writer.uint32(18).string(message.address);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Collector {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseCollector();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.host = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseMemberRenewals(): MemberRenewals {
+  return { host: "", owners: [] };
+}
+
+export const MemberRenewals: MessageFns<MemberRenewals> = {
+  encode(message: MemberRenewals, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.host !== "") {
+      writer.uint32(10).string(message.host);
+    }
+    for (const v of message.owners) {
+      writer.uint32(18).string(v!);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): MemberRenewals {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseMemberRenewals();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.host = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.owners.push(reader.string());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/runtime/gateway/fleetExchange.ts
+++ b/src/runtime/gateway/fleetExchange.ts
@@ -9,7 +9,6 @@
 import type { TimerService } from '../timerService.js'
 import type { FindEarlierValue, RelayedChanges } from '../../core/gateway/storeView.js'
 import { Server } from '@grpc/grpc-js'
-import { listInFlight } from '../../core/gateway/loadExchange.js'
 import { replaceLargeValues } from '../../core/gateway/storeView.js'
 import { FleetExchangeClient } from '../../protocol/gen/peer.js'
 import { decodePlacementChange, decodeLoadReport, decodeStoreChanges, decodeFleetLoad, encodePlacementChange, encodeLoadReport, encodeStoreChanges, encodeFleetLoad } from '../../protocol/fleetUpdate.js'
@@ -31,8 +30,8 @@
   credentials: PeerCredentials
   timers: TimerService
   post: (event: GatewayEvent) => boolean
-  /** Builds the fleet's load, which answers a host's report; undefined when this host is not the granting host. */
-  buildFleetLoad: (host: string) => FleetLoad | undefined
+  /** Builds the load that answers a host's report; undefined when hosts should not report to this one. */
+  buildLoadAnswer: (host: string) => FleetLoad | undefined
   /** Lists the store changes after a revision, for a host that knows the store up to that revision; undefined before the first complete read of the store. */
   listChangesSince: (revision: number) => RelayedChanges | undefined
   /** Finds the value that a key of the store had at a revision, if it is still kept. */
@@ -44,8 +43,8 @@
 /** Both ends of the exchange with the granting host. Hosts report their load; the granting host sends the fleet's load, changes of owners and store changes. */
 export type FleetExchange = {
   listen: (address: string) => Promise<ListenOutcome>
-  /** Sends a report to the granting host; opens the stream if there is none. */
-  report: (address: string, report: LoadReport) => void
+  /** Sends a report to the granting host or a collector; opens the stream if there is none. `inFlight`: this host's own requests in flight, by backend server. */
+  report: (address: string, report: LoadReport, inFlight: Map<string, number>) => void
   /** Sends a change of owners to all hosts that report to this one, or to one of them. */
   publish: (change: PlacementChange, host?: string) => void
   /** Relays store changes to the hosts that report to this one. */
@@ -71,7 +70,7 @@
     const now = parts.timers.clock.now()
     aborted.stream.cancel()
     aborted.client.close()
-    parts.post({ kind: 'exchange-ended', now })
+    parts.post({ kind: 'exchange-ended', now, address: aborted.address })
     if (now - failureLoggedAt < failureLogIntervalMs) return
     failureLoggedAt = now
     parts.log(runtimeEventNumbers.peerCallFailed, 'peerCallFailed', { address: aborted.address, problem })
@@ -95,7 +94,6 @@
   const closeConnection = (closing: GrantingHostConnection) => {
     connection = undefined
     closing.stream.end()
-    parts.post({ kind: 'exchange-ended', now: parts.timers.clock.now() })
     parts.timers.schedule(closeDelayMs, () => {
       closing.stream.cancel()
       closing.client.close()
@@ -103,13 +101,13 @@
   }
   return {
     listen: address => listenGrpc(fleetServer.server, address, parts.credentials.server),
-    report: (address, report) => {
+    report: (address, report, inFlight) => {
       const now = parts.timers.clock.now()
       if (connection !== undefined && connection.address !== address) closeConnection(connection)
       const oldest = connection?.unanswered[0]
       if (connection !== undefined && oldest !== undefined && now - oldest.sentAt > reportTimeoutMs) abortConnection(connection, `no answer to a load report within ${reportTimeoutMs} ms`)
       connection ??= openConnection(address)
-      connection.unanswered.push({ sentAt: now, inFlight: listInFlight(report) })
+      connection.unanswered.push({ sentAt: now, inFlight })
       connection.stream.write(encodeLoadReport(report))
     },
     publish: fleetServer.publish,
@@ -163,7 +161,7 @@
   }
   const handleReport = (connection: HostConnection, message: WireReport) => {
     const report = decodeLoadReport(message)
-    const load = parts.buildFleetLoad(report.host)
+    const load = parts.buildLoadAnswer(report.host)
     if (load === undefined) {
       connection.stream.end()
       return
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -15,9 +15,9 @@
 import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeExpiryGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
-import { buildFleetLoad } from '../../core/gateway/loadExchange.js'
-import { computeWatchPauseMs, gatewayTickMs } from '../../core/gateway/limits.js'
-import { isGatewayReady, isTickDue, reduceGateway } from '../../core/gateway/reduceGateway.js'
+import { buildLoadAnswer } from '../../core/gateway/loadExchange.js'
+import { computeWatchPauseMs, idleTickMs } from '../../core/gateway/limits.js'
+import { computeNextTickAt, isGatewayReady, reduceGateway } from '../../core/gateway/reduceGateway.js'
 import { buildGatewayState } from '../../core/gateway/state.js'
 import { stopPhases } from '../../core/gateway/stop.js'
 import { createAdminServer } from '../adminServer.js'
@@ -37,6 +37,7 @@
 import { createLoopWatch } from './loopWatch.js'
 import { readGatewayStatus } from './gatewayStatus.js'
 import { followStore } from './storeFollower.js'
+import { createTicks } from './ticks.js'
 
 /** Delay before a stop request is retried that was rejected because the event queue was full, in milliseconds. */
 const stopRetryDelayMs = 50
@@ -107,11 +108,7 @@
     timers,
     post,
     log,
-    buildFleetLoad: host => {
-      const current = program.getState()
-      if (current.granting.role !== 'leading') return undefined
-      return buildFleetLoad(current, host, { now: clock.now(), wall: clock.wall() })
-    },
+    buildLoadAnswer: host => buildLoadAnswer(program.getState(), host, { now: clock.now(), wall: clock.wall() }),
     listChangesSince: revision => {
       const changes = storeFollower.listChangesSince(revision)
       return changes === undefined ? undefined : { ...changes, graceMs: computeExpiryGraceMs(program.getState()) }
@@ -129,9 +126,19 @@
     countRejectedValue: metrics.countRejectedValue
   })
   const interpreterParts = { identity, clock, exchanges, callerServer, sender, grantClient, fleetExchange, store, wire, storeFollower, metrics, post, log, end: (reason: EndReason, afterMs: number) => close(reason, afterMs) }
+  const ticks = createTicks({
+    timers,
+    computeNextAt: tickedAt => computeNextTickAt(program.getState(), tickedAt),
+    maxIntervalMs: idleTickMs,
+    notify: now => { post({ kind: 'tick', now, wall: clock.wall() }) }
+  })
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
-    reduce: (current, event) => reduceGateway(current, event, parts.rules, clock.now()),
+    reduce: (current, event) => {
+      const step = reduceGateway(current, event, parts.rules, clock.now())
+      ticks.update()
+      return step
+    },
     interpret: effect => interpretGatewayEffect(effect, interpreterParts),
     chooseLane: chooseGatewayLane,
     turns: { ...processTurns, clock },
@@ -154,12 +161,7 @@
   if (probeOutcome.kind === 'failed') return probeOutcome
   if (peerOutcome.kind === 'failed') return peerOutcome
   if (adminOutcome.kind === 'failed') return adminOutcome
-  let lastTickAt = -Infinity
-  timers.subscribe(gatewayTickMs, now => {
-    if (!isTickDue(program.getState(), now, lastTickAt)) return
-    lastTickAt = now
-    post({ kind: 'tick', now, wall: clock.wall() })
-  })
+  ticks.start()
   log(runtimeEventNumbers.started, 'started', { host: gateway.name, zone: gateway.zone, callers: callerOutcome.address, probes: probeOutcome.address, peers: peerOutcome.address, admin: adminOutcome.address })
 
   let isEnded = false
@@ -172,6 +174,7 @@
       log(runtimeEventNumbers.requestCut, 'requestCut', { requestId: cut.requestId, isSent: cut.sendAttempt !== undefined, isAnswered: cut.isAnswered, ageMs: Math.round(clock.now() - cut.startedAt) })
     }
     storeFollower.stop()
+    ticks.stop()
     program.stop()
     for (const server of [callerServer.httpServer, probes, admin]) closeServer(server)
     sender.close()
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -52,7 +52,7 @@
     case 'read-store': return parts.storeFollower.refresh()
     case 'grant': return sendGrant(effect, parts)
     case 'release': return sendRelease(effect, parts)
-    case 'report-load': return parts.fleetExchange.report(effect.address, effect.report)
+    case 'report-load': return parts.fleetExchange.report(effect.address, effect.report, effect.inFlight)
     case 'publish-placement': return parts.fleetExchange.publish(effect.change, effect.host)
     case 'watch-store': return parts.storeFollower.setWatching(effect.isOn)
     case 'relay-changes': return parts.fleetExchange.relay()
--- a/tests/lateChanges.spec.ts
+++ b/tests/lateChanges.spec.ts
@@ -23,3 +23,17 @@
     })
   }
 }
+
+for (const faultyHost of ['granting-host', 'collector'] as const) {
+  for (const fault of grantingHostFaults) {
+    test(`no unharmed host of a fleet with collectors learns of a change later than half of the bound when the ${faultyHost} is ${fault}`, async t => {
+      for (const [reportIntervalMs, afterMs] of [[20, 0], [20, 390], [60_000, 1500]] as const) {
+        const lateness = await measureLateChange({ hosts: 75, zones: 5, faultyHost, fault, reportIntervalMs, afterMs })
+        if ('problem' in lateness) return t.fail(lateness.problem)
+        const details = `reports ${reportIntervalMs}, after ${afterMs}: ${JSON.stringify(lateness)}`
+        t.true(lateness.configurationMs <= 1500 && lateness.leavingMs <= 1500, details)
+        t.true(lateness.boundMs >= lateness.configurationMs, `the host's own bound is too small: ${details}`)
+      }
+    })
+  }
+}
--- a/tests/relaySharing.spec.ts
+++ b/tests/relaySharing.spec.ts
@@ -23,7 +23,7 @@
     credentials: { client: credentials.createInsecure(), server: ServerCredentials.createInsecure(), readPem: undefined },
     timers: createTimerService(systemClock),
     post: () => true,
-    buildFleetLoad: () => view,
+    buildLoadAnswer: () => view,
     listChangesSince: () => undefined,
     findEarlier: () => undefined,
     applyRelayedChanges: () => {},
@@ -60,7 +60,7 @@
   t.teardown(() => hosts.forEach(host => host.close()))
   hosts.forEach((host, index) => {
     const report: LoadReport = { host: `host-${index}`, backends: [], keys: [], placement, wantsPlacement: false, storeRevision: 5, granting: undefined, zone: 'zone-1', renewed: [] }
-    host.report(listened.address, report)
+    host.report(listened.address, report, new Map())
   })
   await waitFor(() => views === 4, 5000)
   listings = 0
--- a/tests/support/platform/platformFleet.ts
+++ b/tests/support/platform/platformFleet.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
+import type { GatewayRules } from '../../../src/core/gateway/rules.js'
 import type { GatewayProgram } from '../../../src/runtime/gateway/gatewayProgram.js'
 import type { MetadataStore } from '../../../src/runtime/gateway/ports.js'
 import type { GrantBackend } from './grantBackend.js'
@@ -45,8 +46,11 @@
   }
 }
 
+/** Sizes of a fleet; hosts are spread evenly over `zones` availability zones, 1 if undefined. */
+export type FleetSizes = { gateways: number, zones?: number, shards: number, plain: number }
+
 /** Starts a fleet and waits until every host knows all backend servers and all key ranges are held. */
-export async function startPlatformFleet (sizes: { gateways: number, shards: number, plain: number }): Promise<PlatformFleet> {
+export async function startPlatformFleet (sizes: FleetSizes, rules: GatewayRules = buildGatewayRules()): Promise<PlatformFleet> {
   const store = await startKvStandin()
   const events: PlatformFleet['events'] = []
   const register: PlatformFleet['register'] = (backend, service, extra = {}) => {
@@ -65,10 +69,11 @@
   const startHost = async (name: string): Promise<GatewayProgram> => {
     const timers = createTimerService(systemClock)
     const host = gateways.length
+    const zone = `zone-${host % (sizes.zones ?? 1) + 1}`
     const start = await startGateway({
       gateway: {
         name,
-        zone: 'zone-1',
+        zone,
         region: 'region-1',
         listen: '127.0.0.1:0',
         'probe-listen': '127.0.0.1:0',
@@ -86,7 +91,7 @@
       store: buildCuttableStore(createKvStore(store.address, timers), () => cutHosts.has(host)),
       wire: platformWire,
       timers,
-      rules: buildGatewayRules(),
+      rules,
       log: (_, msg, fields) => { events.push({ host, msg, fields }) }
     })
     if (start.kind === 'failed') throw new Error(start.problem)
