Count no host's load twice when it changes its collector; collectors turn to the store before their hosts

Cause: a host that began to report to a collector stayed in the granting host's totals for 3 s with its own last report, and a lost collector's sum stayed beside the reports of its hosts: 50 hosts of 30, twice the load, refusals. Relayed changes were relied on by the number of all hosts, so that collectors and their hosts would all have watched the store at once. Change: a collector's report replaces those of its hosts, and is used for 1 s.

--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -139,6 +139,8 @@
 export const maxRelayMs = 400
 /** Time for which a host's load report is used, in milliseconds. */
 export const reportRetentionMs = 3000
+/** Time for which a collector's report is used, in milliseconds: it reports several times a second, and its hosts report themselves once it is lost. */
+export const collectedReportRetentionMs = 1000
 /** Maximum number of different keys in one report; the remaining keys are aggregated into buckets. */
 export const maxReportedKeys = 512
 
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -7,7 +7,7 @@
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
 import { computeKeyRates } from './keyRates.js'
 import { addCollectedLoad, buildCollectorAnswer, chooseReportAddress } from './collecting.js'
-import { addReport, countInFlight } from './loadTotals.js'
+import { addReport, countInFlight, dropReport } from './loadTotals.js'
 import { computeStoreAgeMs } from './storeFreshness.js'
 import { listMemberRenewals, listOwnersToRenew } from './renewerAssignment.js'
 import { listConfirmedRenewals } from './delegatedRenewals.js'
@@ -126,6 +126,8 @@
   if (granting.role !== 'leading') return
   sendMissedPlacement(work, report)
   addReport(granting, now, report.host, listInFlight(report), report.hosts)
+  // What these hosts reported before they had a collector is part of its report now.
+  for (const member of report.members ?? []) dropReport(granting, member.host)
   for (const backend of report.backends) {
     if (backend.answered === 0) continue
     const known = granting.serviceTimes.get(backend.id) ?? { sum: 0, count: 0, at: now }
--- a/src/core/gateway/loadTotals.ts
+++ b/src/core/gateway/loadTotals.ts
@@ -1,8 +1,8 @@
-import { reportRetentionMs } from './limits.js'
+import { collectedReportRetentionMs, reportRetentionMs } from './limits.js'
 
 /** Last load reports of several hosts, with their sums. */
 export type LoadTotals = {
-  /** Last report of each reporting host, oldest first; `hosts`: number of hosts that it speaks for. */
+  /** Last report of each reporting host; `hosts`: number of hosts that it speaks for. */
   reports: Map<string, { at: number, inFlight: Map<string, number>, hosts: number }>
   /** Requests in flight at each backend server, summed over the reports. */
   inFlight: Map<string, number>
@@ -18,7 +18,6 @@
 /** Adds the requests in flight of a report at time `now`, in place of those of the host's previous report. */
 export function addReport (totals: LoadTotals, now: number, host: string, inFlight: Map<string, number>, hosts = 1): void {
   dropReport(totals, host)
-  // The map stays ordered by time of arrival, since the previous report of the host has been deleted.
   totals.reports.set(host, { at: now, inFlight, hosts })
   totals.hostCount += hosts
   for (const [id, count] of inFlight) addInFlight(totals, id, count)
@@ -27,8 +26,7 @@
 /** Drops the reports of hosts that have not reported for too long. */
 export function dropExpiredReports (totals: LoadTotals, now: number): void {
   for (const [host, report] of totals.reports) {
-    if (now - report.at <= reportRetentionMs) return
-    dropReport(totals, host)
+    if (now - report.at > (report.hosts > 1 ? collectedReportRetentionMs : reportRetentionMs)) dropReport(totals, host)
   }
 }
 
@@ -38,7 +36,8 @@
   return (totals.inFlight.get(id) ?? 0) - own
 }
 
-function dropReport (totals: LoadTotals, host: string): void {
+/** Drops the report of a host, if there is one. */
+export function dropReport (totals: LoadTotals, host: string): void {
   const known = totals.reports.get(host)
   if (known === undefined) return
   totals.reports.delete(host)
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -34,8 +34,8 @@
 
 /** Computes until when this host relies on the changes relayed by the granting host, counted from the time up to which they are complete. */
 export function computeRelayFreshUntil (state: GatewayState): number {
-  // What a collector relays is older by its own exchange with the granting host.
-  return state.receivedAsOf + (state.collector === undefined ? computeRelayFreshMs(state.hosts) : maxRelayFreshMs)
+  // What a collector relays is older by its own exchange with the granting host. The collector turns to the store first, so that its hosts need not.
+  return state.receivedAsOf + (state.collector === undefined ? computeRelayFreshMs(state.reporters) : maxRelayFreshMs)
 }
 
 /** Applies what the granting host reports about its own progress in the store's changes and the placement. */
--- a/tests/gatewayCollectors.spec.ts
+++ b/tests/gatewayCollectors.spec.ts
@@ -109,6 +109,22 @@
   t.true(served.every(share => share > 0.97), served.map(share => share.toFixed(2)).join(' '))
 })
 
+test('no load is counted twice when hosts change from the granting host to a collector, or lose it', t => {
+  const counts: number[] = []
+  const lateCounts: number[] = []
+  const countHosts = (list: number[]) => (world: GatewayWorld) => { list.push(findGrantingHost(world)?.state.granting.hostCount ?? 0) }
+  runTrafficScenario({
+    ...fleet,
+    faults: [
+      ...Array.from({ length: 10 }, (_, index) => ({ at: -2000 + index * 400, run: countHosts(counts) })),
+      { at: 3000, run: world => { const collector = findCollector(world); if (collector !== undefined) killHost(world, collector) } },
+      ...Array.from({ length: 10 }, (_, index) => ({ at: 4300 + index * 200, run: countHosts(lateCounts) }))
+    ]
+  })
+  t.true(counts.every(count => count <= 30), counts.join(' '))
+  t.true(lateCounts.every(count => count <= 29), lateCounts.join(' '))
+})
+
 testProp('no generated history of faults gives a key two owners or leaves it without one in a fleet with collectors', [faultHistories, fc.nat({ max: 1000 })], (t, steps, seed) => {
   const eager = { ...rules, chooseCollectors }
   t.deepEqual(listViolations(runHistory(steps, seed, eager, 0.3, { hosts: 9, zones: 3 })), [])
