--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -180,7 +180,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), reporters: granting.reports.size, collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
+  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
 }
 
 /** Builds the answer to a host's report; undefined when hosts should not report to this one. */
@@ -188,6 +188,11 @@
   return state.granting.role === 'leading' ? buildFleetLoad(state, host, clocks) : buildCollectorAnswer(state, host, clocks)
 }
 
+/** Counts the hosts that report to this one directly, itself included while it is the granting host. */
+export function countReportingHosts ({ granting, collecting }: GatewayState): number {
+  return granting.role === 'leading' ? granting.reports.size : collecting.reports.size
+}
+
 /** Finds the collector of a host's zone. */
 function findCollector ({ granting }: GatewayState, host: string): GrantingHost | undefined {
   const zone = granting.renewers.get(host)?.zone
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -1,10 +1,12 @@
 import type { ChangeKind } from '../../core/gateway/changeLags.js'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent } from '../../core/gateway/events.js'
+import type { StoreCallReason } from './storeCallCounts.js'
 import type { RefusalReason, RetryReason } from '../../core/domain/outcome.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { changeLagBoundsMs } from '../../core/gateway/changeLags.js'
 import { refusalReasons, retryReasons } from '../../core/domain/outcome.js'
+import { storeCallReasons } from './storeCallCounts.js'
 
 /** Bounds of the latency histogram, in milliseconds: closely spaced around the latency targets of lookups and bookings. */
 const latencyBoundsMs = [5, 15, 25, 50, 100, 150, 200, 250, 300, 400, 500, 800, 1200, 2000, 5000]
@@ -12,7 +14,7 @@
 /** Names of a gateway's gauges. */
 export const gatewayGauges = [
   'gateway_requests', 'gateway_caller_connections', 'gateway_stop_phase', 'gateway_store_up', 'gateway_granting', 'gateway_configuration_version', 'gateway_placement_revision',
-  'gateway_store_revision', 'gateway_store_age_ms', 'gateway_told', 'gateway_events_waiting'
+  'gateway_store_revision', 'gateway_store_age_ms', 'gateway_told', 'gateway_events_waiting', 'gateway_reporting_hosts'
 ] as const
 /** Name of a gateway's gauge. */
 export type GatewayGauge = typeof gatewayGauges[number]
@@ -27,6 +29,7 @@
   countRefusal: (reason: RefusalReason, outcome: 'not-run' | 'unknown') => void
   countRetry: (reason: RetryReason) => void
   countRejectedValue: () => void
+  countStoreCall: (reason: StoreCallReason) => void
   countLeftOutLine: (event: string) => void
   countCutRequest: () => void
   countWork: (type: WorkType, kind: WorkKind, ms: number) => void
@@ -48,6 +51,7 @@
   const refusals = new Counter({ name: 'fulmar_gateway_refusals_total', help: 'Requests refused or failed, by reason and outcome', labelNames: ['reason', 'outcome'], registers })
   const retries = new Counter({ name: 'fulmar_gateway_retries_total', help: 'Requests sent again, by reason', labelNames: ['reason'], registers })
   const rejectedValues = new Counter({ name: 'fulmar_gateway_rejected_values_total', help: 'Values of the store that could not be decoded', registers })
+  const storeCalls = new Counter({ name: 'fulmar_gateway_store_calls_total', help: 'Calls to the store, by reason', labelNames: ['reason'], registers })
   const leftOutLines = new Counter({ name: 'fulmar_gateway_log_lines_left_out_total', help: 'Log lines left out within the budgets, by event', labelNames: ['event'], registers })
   const cutRequests = new Counter({ name: 'fulmar_gateway_requests_cut_total', help: 'Requests in flight when the process ended', registers })
   const answers = new Histogram({
@@ -66,11 +70,13 @@
   })
   for (const reason of refusalReasons) refusals.inc({ reason, outcome: 'not-run' }, 0)
   for (const reason of retryReasons) retries.inc({ reason }, 0)
+  for (const reason of storeCallReasons) storeCalls.inc({ reason }, 0)
   return {
     registry,
     countRefusal: (reason, outcome) => refusals.inc({ reason, outcome }),
     countRetry: reason => retries.inc({ reason }),
     countRejectedValue: () => rejectedValues.inc(),
+    countStoreCall: reason => storeCalls.inc({ reason }),
     countCutRequest: () => cutRequests.inc(),
     countWork: (type, kind, ms) => workCounters[type](kind, ms),
     countLost: kind => lostEvents.inc({ kind }),
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -15,7 +15,7 @@
 import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeExpiryGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
-import { buildLoadAnswer } from '../../core/gateway/loadExchange.js'
+import { buildLoadAnswer, countReportingHosts } from '../../core/gateway/loadExchange.js'
 import { computeWatchPauseMs, idleTickMs } from '../../core/gateway/limits.js'
 import { computeNextTickAt, isGatewayReady, reduceGateway } from '../../core/gateway/reduceGateway.js'
 import { buildGatewayState } from '../../core/gateway/state.js'
@@ -36,6 +36,7 @@
 import { createLogBudget } from './logBudget.js'
 import { createLoopWatch } from './loopWatch.js'
 import { readGatewayStatus } from './gatewayStatus.js'
+import { buildCountedStore } from './storeCallCounts.js'
 import { followStore } from './storeFollower.js'
 import { createTicks } from './ticks.js'
 
@@ -60,7 +61,7 @@
 
 /** Starts a gateway: binds its ports, follows the store and serves callers. */
 export async function startGateway (settings: GatewaySettings, parts: GatewayParts): Promise<GatewayStart> {
-  const { store, wire, timers } = parts
+  const { wire, timers } = parts
   const { clock } = timers
   const { gateway } = settings
   const exchanges: GatewayExchanges = new Map()
@@ -88,9 +89,11 @@
       gateway_store_revision: current.storeRevision,
       gateway_store_age_ms: current.knownAsOf === -Infinity ? 0 : Math.round(clock.now() - current.knownAsOf),
       gateway_told: current.storeSource === 'told' ? 1 : 0,
-      gateway_events_waiting: program.countWaiting()
+      gateway_events_waiting: program.countWaiting(),
+      gateway_reporting_hosts: countReportingHosts(current)
     }
   })
+  const store = buildCountedStore(parts.store, metrics.countStoreCall)
   const logBudget = createLogBudget({ timers, log: parts.log, countLeftOutLine: metrics.countLeftOutLine })
   const { log } = logBudget
   const recordRefusal = (refusal: EarlyRefusal) => {
--- a/tests/gatewayMetrics.spec.ts
+++ b/tests/gatewayMetrics.spec.ts
@@ -56,3 +56,18 @@
   t.regex(text, /^fulmar_gateway_requests_cut_total 1$/m)
   t.regex(text, /^fulmar_gateway_log_lines_left_out_total\{event="requestAnswered"\} 1$/m)
 })
+
+test('the metrics count the calls to the store by reason', async t => {
+  const fleet = await startPlatformFleet({ gateways: 1, shards: 1, plain: 1 })
+  t.teardown(fleet.stop)
+  const [gateway] = fleet.gateways
+  if (gateway === undefined) return t.fail('nothing started')
+  const countCalls = async (reason: string) => (await scrape(gateway.addresses.admin)).get(`fulmar_gateway_store_calls_total{reason="${reason}"}`) ?? 0
+  const waitForCall = async (reason: string) => {
+    const end = Date.now() + metricWaitMs
+    while (await countCalls(reason) === 0 && Date.now() < end) await new Promise(resolve => setTimeout(resolve, 20))
+    return await countCalls(reason) > 0
+  }
+  for (const reason of ['read-all', 'watch', 'lease', 'renewal', 'write']) t.true(await waitForCall(reason), reason)
+  t.is(await countCalls('read-value'), 0)
+})
