--- a/src/core/gateway/renewerAssignment.ts
+++ b/src/core/gateway/renewerAssignment.ts
@@ -1,6 +1,4 @@
 import type { LoadReport, MemberReport } from './events.js'
-import type { CollectorCandidate } from './collectorChoice.js'
-import type { GatewayRules } from './rules.js'
 import type { RenewerHost } from './renewalState.js'
 import type { GrantingState, ManagedGrant } from './grantingState.js'
 import type { GatewayState, GatewayWork } from './state.js'
@@ -105,19 +103,6 @@
   return false
 }
 
-/** Chooses the collectors of the availability zones from the hosts that report. */
-export function advanceCollectors (work: GatewayWork, rules: GatewayRules): void {
-  const { state } = work
-  const { granting, identity, now } = state
-  if (granting.role !== 'leading' || now < granting.chooseCollectorsAt) return
-  granting.chooseCollectorsAt = now + chooseRenewersMs
-  const candidates: CollectorCandidate[] = []
-  for (const [host, renewer] of granting.renewers) {
-    if (now - renewer.reportedAt <= computeRenewerTimeoutMs(state)) candidates.push({ host, ...renewer })
-  }
-  granting.collectors = rules.chooseCollectors(candidates, identity, granting.collectors)
-}
-
 /** Assigns each owner a nearby host that renews its grants; each host gets a bounded number of owners. */
 export function chooseRenewers (work: GatewayWork): void {
   const { state } = work
@@ -158,7 +143,7 @@
 }
 
 /** Computes the time without a report after which a host is no longer relied on, in milliseconds. */
-function computeRenewerTimeoutMs (state: GatewayState): number {
+export function computeRenewerTimeoutMs (state: GatewayState): number {
   return Math.max(minRenewerTimeoutMs, computeReportMs(state.hosts) * renewerTimeoutReports)
 }
 
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -19,8 +19,8 @@
 
 /** Share of a backend server's connections that all hosts together use for requests; the others are left for grants and for hosts that start. */
 const usedConnectionShare = 0.75
-/** Minimum number of connections that a host may have to a backend server: more would exceed what the server accepts from thousands of hosts. */
-const minConnectionsPerBackend = 1
+/** Number of connections that a host may have to a backend server whatever its share, one in use and one more, unless all hosts together would exceed what the server accepts. */
+const minConnectionsPerBackend = 2
 /** Maximum number of connections that a host needs to a backend server: enough for its slots and its queue. */
 const maxConnectionsPerBackend = 24
 
@@ -160,9 +160,10 @@
 }
 
 /** Computes how many connections this host may have to one backend server: its share of what the server accepts. */
-function computeConnectionShare (state: GatewayState, service: string): number {
+export function computeConnectionShare (state: GatewayState, service: string): number {
   const accepted = state.configuration?.services.get(service)?.maxConnections ?? Infinity
-  return Math.max(minConnectionsPerBackend, Math.min(maxConnectionsPerBackend, Math.floor(accepted * usedConnectionShare / state.hosts)))
+  const fewest = Math.max(1, Math.min(minConnectionsPerBackend, Math.floor(accepted / state.hosts)))
+  return Math.max(fewest, Math.min(maxConnectionsPerBackend, Math.floor(accepted * usedConnectionShare / state.hosts)))
 }
 
 function sendRequest (work: GatewayWork, request: GatewayRequest, backend: Backend): void {
--- a/tests/fleetSizes.spec.ts
+++ b/tests/fleetSizes.spec.ts
@@ -3,7 +3,9 @@
 import { runTrafficScenario } from '../spec/gateway/trafficScenario.js'
 import { admitRequest, estimateInFlight } from '../src/core/gateway/admission.js'
 import { maxRelayFreshMs, maxReportMs } from '../src/core/gateway/limits.js'
+import { computeConnectionShare } from '../src/core/gateway/requestDispatch.js'
 import { buildGatewayRules } from '../src/core/gateway/rules.js'
+import { buildGatewayState } from '../src/core/gateway/state.js'
 
 /** Numbers of hosts, and of the availability zones over which they are spread. */
 const sizes = [{ hosts: 2, zones: 1 }, { hosts: 12, zones: 6 }, { hosts: 75, zones: 5 }, { hosts: 195, zones: 9 }, { hosts: 600, zones: 18 }]
@@ -41,3 +43,13 @@
     t.is(admitRequest(state, request, backend).kind, 'admit')
   })
 }
+
+test('all hosts together have no more connections to a server than it accepts, up to as many hosts as it accepts connections', t => {
+  for (const [hosts, accepted] of [[1, 2], [12, 130], [75, 600], [195, 1200], [600, 1200], [1000, 1200]] as const) {
+    const state = buildGatewayState({ host: 'h', zone: 'z', region: 'r', regionOf: new Map(), address: 'h', processorShare: 1 }, 1, 0)
+    state.hosts = hosts
+    state.configuration = { version: 1, routes: [], services: new Map([['s', { name: 's', sharded: false, warmupMs: 0, maxConnections: accepted }]]), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+    const share = computeConnectionShare(state, 's')
+    t.true(share >= 1 && share * hosts <= accepted, `${hosts} hosts, ${accepted} accepted: ${share}`)
+  }
+})
