--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -193,6 +193,11 @@
     await deployment?.stop()
     process.exit(result)
   }
+  // No process of the case outlives the script, however it ends.
+  process.on('exit', () => {
+    for (const host of deployment?.hosts ?? []) host.child?.kill('SIGKILL')
+  })
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => { finish(results.notRun) })
   setTimeout(() => {
     record.note('time-over', { maxMs })
     finish(results.notRun)
