Backend servers' answers whose head can't be written fail alone

Cause: the parser of Node.js accepts header names and status codes that its own writeHead and request throw on. The exception of writeHead in deliverAnswer left the interpreter of effects, where nothing returns it as a value (stack: processHeader, writeHead, deliverAnswer, interpretGatewayEffect). Related paths with the same cause: the router's answers, its answers that a peer passes on (a peer may run an earlier release), its requests (request threw in the process of the router). A caller's header of that kind made the gateway avoid a sound backend server and answer 503 instead of 400. Change: heads are checked where they arrive: such answers are malformed (retried, or 502), such requests get 400. Whatever request throws on is a value in the router too.

--- a/src/runtime/backendClient.ts
+++ b/src/runtime/backendClient.ts
@@ -4,11 +4,13 @@
 import type { IdleConnectionOptions } from './answerExcess.js'
 import type { Exchange } from './exchange.js'
 import type { TimerService } from './timerService.js'
-import { Agent, request as openRequest } from 'node:http'
+import { Agent } from 'node:http'
 import { decodeGrantAnswer, grantPath, headerNames, healthPath } from '../protocol/grantWire.js'
 import { isParseError, isTooLong, watchAnswer, watchIdleConnections } from './answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from './exchange.js'
+import { areHeadersValid, isFinalStatus } from './messageHead.js'
 import { throttleReading } from './readThrottle.js'
+import { openRequest } from './requestOpening.js'
 import { createSendIdSource } from './sendIds.js'
 
 /** Timeout for the reply to a grant message, and for the remaining body of a refusal, in milliseconds. */
@@ -94,6 +96,7 @@
     agent,
     setHost: false
   })
+  if (request === undefined) return done('connect-failed')
   const stopDeadline = timers.schedule(Math.max(1, target.deadlineAt - timers.clock.now()), () => {
     // An answer that has already started is truncated.
     if (!isAnswering) finish('deadline')
@@ -146,7 +149,7 @@
       dropRefusalBody(request, response, timers)
       return
     }
-    if (isTooLong(response)) {
+    if (isTooLong(response) || !isFinalStatus(response.statusCode ?? 0) || !areHeadersValid(response.rawHeaders)) {
       finish('malformed')
       request.destroy()
       return
@@ -241,6 +244,7 @@
     path: checksGrants ? grantPath : healthPath,
     headers: { 'content-length': Buffer.byteLength(body), 'content-type': 'application/json', [headerNames.request]: sendId }
   })
+  if (request === undefined) return done({ kind: 'failed' })
   const fail = () => {
     finish({ kind: 'failed' })
     request.destroy()
--- a/src/runtime/callerServer.ts
+++ b/src/runtime/callerServer.ts
@@ -11,6 +11,7 @@
 import { headerNames } from '../protocol/grantWire.js'
 import { createCallerConnections } from './callerConnections.js'
 import { formatHeaders, listPassedHeaders } from './exchange.js'
+import { areHeadersValid } from './messageHead.js'
 import { refuseUnreadable } from './requestErrors.js'
 
 /** Number of body bytes that are buffered before routing; a request with a smaller body can be retried. */
@@ -92,6 +93,11 @@
 function acceptCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, keepAlive: KeepAliveState): void {
   response.on('error', () => {})
   request.on('error', () => {})
+  if (!areHeadersValid(request.rawHeaders)) {
+    options.countRefusal('bad-request')
+    writeRefusal(request, response, { outcome: 'not-run', reason: 'bad-request' }, { isClosing: () => true })
+    return
+  }
   if (hasNoBody(request)) {
     request.resume()
     startExchange(id, request, response, Buffer.alloc(0), true, options, keepAlive)
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -7,9 +7,10 @@
 import type { GatewayWire } from './ports.js'
 import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
+import { areHeadersValid, isFinalStatus } from '../messageHead.js'
 import { throttleReading } from '../readThrottle.js'
 import { createBackendConnections } from './backendConnections.js'
-import { openRequest } from './requestOpening.js'
+import { openRequest } from '../requestOpening.js'
 
 /** Connect timeout, in milliseconds: several round trips between regions. */
 const connectTimeoutMs = 400
@@ -189,8 +190,9 @@
   options.post({ kind: 'stray-bytes-read', now: options.timers.clock.now(), backend })
 }
 
-/** Checks the head of an answer; returns a failure if the answer belongs to another request, has an encoding that was not accepted, or is too long. */
+/** Checks the head of an answer; returns a failure if the answer can't be sent on, belongs to another request, has an encoding that was not accepted, or is too long. */
 function checkAnswer (response: IncomingMessage, exchange: GatewayExchange, wire: GatewayWire): SendFailure | undefined {
+  if (!isFinalStatus(response.statusCode ?? 0) || !areHeadersValid(response.rawHeaders)) return 'malformed'
   const echoed = response.headers[wire.headers.requestId.toLowerCase()]
   if (exchange.requestId !== '' && echoed !== exchange.requestId) return 'wrong-request'
   if (response.headers['content-encoding'] !== undefined && exchange.request.headers['accept-encoding'] === undefined) return 'malformed'
--- a/src/runtime/gateway/grantClient.ts
+++ b/src/runtime/gateway/grantClient.ts
@@ -6,7 +6,7 @@
 import { Agent } from 'node:http'
 import { isParseError, watchAnswer, watchIdleConnections } from '../answerExcess.js'
 import { splitAddress } from './backendSender.js'
-import { openRequest } from './requestOpening.js'
+import { openRequest } from '../requestOpening.js'
 
 /** Time after which an idle connection for grants is closed, in milliseconds: several renewal intervals. */
 const idleConnectionTimeoutMs = 3000
--- a/src/runtime/peerClient.ts
+++ b/src/runtime/peerClient.ts
@@ -12,8 +12,9 @@
 import { peerSilenceTimeoutMs } from '../core/limits.js'
 import { PeerClient } from '../protocol/gen/peer.js'
 import { decodeRefusal, encodeControl, encodeRequestHead } from '../protocol/peerCodec.js'
-import { readInto } from './exchange.js'
+import { formatHeaders, readInto } from './exchange.js'
 import { createCreditedReader, createCreditedWriter } from './frameStream.js'
+import { areHeadersValid, isFinalStatus } from './messageHead.js'
 
 /** Traffic classes; each has a stream of its own, so that none blocks another. */
 export const trafficClasses = ['control', 'interactive', 'bulk'] as const
@@ -305,6 +306,12 @@
   const sendFrame = (frameId: number, frame: FrameBody) => link.stream?.write({ id: frameId, body: frame })
   switch (body.$case) {
     case 'answer': {
+      // The peer may run an earlier release, which passed on heads that can't be written.
+      if (!isFinalStatus(body.answer.status) || !areHeadersValid(formatHeaders(body.answer.headers))) {
+        forward.exchange.cancelForward?.()
+        refuse(forward, { outcome: 'unknown', reason: 'backend-rubbish' })
+        return
+      }
       startAnswer(link, id, forward, body.answer, sendFrame)
       return
     }
