A replaced granting host grants nothing to a server that has started again in place

Cause: the former granting host renews for 10 s without the store. Only the owner's memory of a higher fencing token makes that harmless, and the memory ends with its process. The successor had started again, so it was not leaving the former one and did not tell it. Change: a new granting host notifies those before it until they have reported to it. For hosts that are cut off from each other: a connection does not outlive a process, so a host that may have been replaced renews over connections on which the owner has confirmed a grant, and sends nothing where there is none. While all known hosts report to it, as in an outage of the store, it may open new ones. Renewers are told for how long they may (connect_ms; absent from earlier releases, which means as before). The grant client keeps only connections on which a grant was confirmed. The test of the encoding in collectorRenewals sets the new field.

--- a/spec/gateway/histories.ts
+++ b/spec/gateway/histories.ts
@@ -5,6 +5,7 @@
 import { scheduleIn } from '../eventQueue.js'
 import { runTrafficScenario } from './trafficScenario.js'
 import { addBackend, announceBackend, killHost, restartHost, resumeHost } from './virtualGateways.js'
+import { restartInPlace } from './virtualBackend.js'
 import { post, readStore } from './virtualWorld.js'
 
 /** Grace period of a stopping host, in milliseconds; the same as on the users' platform. */
@@ -12,10 +13,15 @@
 /** Time after which the platform restarts a process that has ended, in milliseconds. */
 const restartMs = 300
 
+/** Time for which a backend server is down when it starts again in place, in milliseconds. */
+const inPlaceRestartMs = 150
+/** Time from then until it registers again, in milliseconds. */
+const nextHeartbeatMs = 800
+
 /** Kinds of faults that a history injects. */
 export const faultKinds = [
   'kill-granting-host', 'stop-granting-host', 'stop-some', 'pause-granting-host', 'cut-granting-host', 'kill-some', 'store-down', 'late-grants', 'late-store-calls',
-  'server-silent', 'server-refusing', 'server-reborn', 'server-unlisted', 'server-leaving', 'server-added', 'server-slow', 'host-cut-from-server',
+  'server-silent', 'server-refusing', 'server-reborn', 'server-restarted', 'server-unlisted', 'server-leaving', 'server-added', 'server-slow', 'host-cut-from-server',
   'pause-some', 'host-cut-from-hosts'
 ] as const
 
@@ -112,13 +118,21 @@
       return
     }
     case 'server-reborn': {
-      backend.grants = []
-      backend.seenFences = []
-      backend.running = []
-      backend.queued = []
+      restartInPlace(backend)
       backend.registration = { ...registration, startedAt: registration.startedAt + 10_000 }
       return announceBackend(world, registration.id, backend.registration)
     }
+    case 'server-restarted': {
+      backend.state = 'refusing'
+      scheduleIn(world.queue, inPlaceRestartMs, () => {
+        restartInPlace(backend)
+        backend.state = 'up'
+      })
+      return scheduleIn(world.queue, inPlaceRestartMs + nextHeartbeatMs, () => {
+        backend.registration = { ...backend.registration, startedAt: backend.registration.startedAt + 10_000 }
+        announceBackend(world, registration.id, backend.registration)
+      })
+    }
     case 'server-unlisted': {
       announceBackend(world, registration.id, undefined)
       return scheduleEnd(() => announceBackend(world, registration.id, registration))
--- a/spec/gateway/virtualBackend.ts
+++ b/spec/gateway/virtualBackend.ts
@@ -13,6 +13,8 @@
 export type VirtualBackend = {
   registration: BackendRegistration
   state: VirtualBackendState
+  /** Number of its process, which a restart in place changes. */
+  process: number
   /** Factor on the service time. */
   slowness: number
   /** Share of requests that it sheds although it could run them. */
@@ -30,7 +32,12 @@
 
 /** Builds a backend server without grants. */
 export function buildVirtualBackend (registration: BackendRegistration, slowness: number): VirtualBackend {
-  return { registration, state: 'up', slowness, shedShare: 0, grants: [], seenFences: [], running: [], queued: [], busyMs: 0, startedCount: 0 }
+  return { registration, state: 'up', process: 1, slowness, shedShare: 0, grants: [], seenFences: [], running: [], queued: [], busyMs: 0, startedCount: 0 }
+}
+
+/** Restarts a backend server in place: it forgets its grants, fencing tokens and work. */
+export function restartInPlace (backend: VirtualBackend): void {
+  Object.assign(backend, { process: backend.process + 1, grants: [], seenFences: [], running: [], queued: [] })
 }
 
 /** Whether the backend server holds an unexpired grant for a key. */
--- a/spec/gateway/virtualEffects.ts
+++ b/spec/gateway/virtualEffects.ts
@@ -100,6 +100,13 @@
         })
       })
     }
+    case 'notify-predecessor': {
+      const target = world.hosts.find(other => other.name === effect.address)
+      return scheduleIn(queue, linkDelayMs, () => {
+        if (target === undefined || target.isPaused || host.isCutFromHosts || target.isCutFromHosts || target.state.granting.role !== 'leading') return
+        post(world, target, { kind: 'load-reported', now: 0, report: effect.report })
+      })
+    }
     case 'publish-placement': {
       for (const target of world.hosts) {
         if (target === host || target.exchange.address !== host.name || host.isCutFromHosts || target.isCutFromHosts || (effect.host !== undefined && effect.host !== target.name)) continue
@@ -159,17 +166,29 @@
     postLater(world, host, delayMs + world.grantAnswerDelayMs, { kind: 'grant-ended', now: 0, sentAt, service, from, to, fence, outcome })
   }
   const backend = findBackend(world, host, effect.address)
+  const id = effect.backend
+  const isKept = host.grantConnections.has(id)
+  // A connection of an earlier process is reset by the server.
+  if (isKept && backend !== undefined && host.grantConnections.get(id) !== backend.process) host.grantConnections.delete(id)
+  if (effect.connection === 'kept' && !host.grantConnections.has(id)) return end(isKept ? linkDelayMs * 2 : 0, { kind: isKept ? 'failed' : 'not-sent' })
+  const { process } = backend ?? { process: 0 }
+  const incarnation = host.incarnation
+  const closeConnection = () => { if (host.incarnation === incarnation) host.grantConnections.delete(id) }
+  // The connection of a call without an answer is closed.
+  if (backend === undefined || backend.state === 'silent') scheduleIn(queue, grantTimeoutMs, closeConnection)
   if (backend === undefined || backend.state === 'silent') return end(grantTimeoutMs, { kind: 'failed' })
   if (backend.state === 'refusing') return end(linkDelayMs * 2, { kind: 'connection-refused' })
   const isLate = uniformFloat64(world.random) < world.lateGrantShare
   const delayMs = isLate ? chooseLateMs(world) : linkDelayMs
   const expiresAt = queue.now + linkDelayMs + effect.holdMs
   scheduleIn(queue, delayMs, () => {
-    if (backend.state !== 'up') return
+    if (backend.state !== 'up' || (effect.connection === 'kept' && backend.process !== process)) return
     const outcome = acceptGrant(backend, from, to, fence, expiresAt)
     if (outcome.kind === 'granted' && expiresAt > queue.now) checkOverlap(world, backend, from, to)
     if (!isLate) end(linkDelayMs, outcome)
+    if (!isLate && outcome.kind === 'granted' && host.incarnation === incarnation) host.grantConnections.set(id, backend.process)
   })
+  if (isLate) scheduleIn(queue, grantTimeoutMs, closeConnection)
   if (isLate) end(grantTimeoutMs, { kind: 'failed' })
 }
 
--- a/spec/gateway/virtualWorld.ts
+++ b/spec/gateway/virtualWorld.ts
@@ -40,6 +40,8 @@
   isCutFromHosts: boolean
   /** Identifiers of the backend servers that it can't reach. */
   unreachableBackends: Set<string>
+  /** Process of each backend server to which it has kept a connection for grants. */
+  grantConnections: Map<string, number>
   /** Number that changes when the process ends, so that callbacks of an earlier process are ignored. */
   incarnation: number
   /** Address of the host to which it reports, and the times of its reports without an answer. */
--- a/src/core/gateway/collecting.ts
+++ b/src/core/gateway/collecting.ts
@@ -111,7 +111,7 @@
 /** Keeps which owners' grants the hosts of the zone are asked to renew; `askedAt` is when the report that the granting host answered was sent. */
 export function keepMemberRenewals (state: GatewayState, load: FleetLoad, askedAt: number): void {
   if (state.collecting.role !== 'collecting') return
-  state.collecting.renewals = new Map((load.memberRenewals ?? []).map(({ host, owners }) => [host, { owners, askedAt }]))
+  state.collecting.renewals = new Map((load.memberRenewals ?? []).map(({ host, owners }) => [host, { owners, askedAt, connectMs: load.connectMs }]))
 }
 
 /** Builds a collector's answer to the report of a host of its zone; undefined when that host should report to the granting host. */
@@ -135,6 +135,7 @@
     storeRevision: collecting.relayedRevision,
     storeAgeMs: computeStoreAgeMs(state, clocks),
     renewals: [...renewals?.owners ?? []],
+    connectMs: renewals?.connectMs,
     renewalsAgeMs: renewals === undefined ? 0 : clocks.now - renewals.askedAt + computeSuspendedMs(state.clocks, clocks),
     loadAgeMs: Math.max(0, unansweredMs)
   }
--- a/src/core/gateway/collectingState.ts
+++ b/src/core/gateway/collectingState.ts
@@ -17,7 +17,7 @@
   role: 'none' | 'collecting'
   collected: CollectedLoad
   /** Owners whose grants each host of the zone is asked to renew; the granting host answered a report sent at `askedAt`. */
-  renewals: Map<string, { owners: readonly string[], askedAt: number }>
+  renewals: Map<string, { owners: readonly string[], askedAt: number, connectMs: number | undefined }>
 }
 
 /** Builds the state of a host that collects no reports. */
--- a/src/core/gateway/delegatedRenewals.ts
+++ b/src/core/gateway/delegatedRenewals.ts
@@ -6,11 +6,15 @@
 import { renewalMs, renewalValidityMs } from './limits.js'
 import { isSameVersion } from './placementChange.js'
 
-/** Applies the granting host's request to renew the grants of these owners; `reportedAt` is when the report that it answers was sent. */
-export function applyRenewalRequest (state: GatewayState, owners: readonly string[], reportedAt: number): void {
+/**
+ * Applies the granting host's request to renew the grants of these owners. `reportedAt` is when the report that it answers was sent;
+ * for `connectMs` milliseconds from then, connections may be opened for the renewals.
+ */
+export function applyRenewalRequest (state: GatewayState, owners: readonly string[], reportedAt: number, connectMs = renewalValidityMs): void {
   const { renewing } = state
   if (reportedAt < renewing.ignoreReportsBefore) return
   renewing.validUntil = Math.max(renewing.validUntil, reportedAt + renewalValidityMs)
+  renewing.connectUntil = Math.max(renewing.connectUntil, reportedAt + connectMs)
   if (owners.length === renewing.owners.size && owners.every(owner => renewing.owners.has(owner))) return
   renewing.owners = new Set(owners)
   renewing.listedVersion = undefined
@@ -21,6 +25,7 @@
   const { renewing } = state
   renewing.ignoreReportsBefore = now
   renewing.validUntil = -Infinity
+  renewing.connectUntil = -Infinity
 }
 
 /** Sends the renewals that are due. */
@@ -35,10 +40,11 @@
     return
   }
   updateRenewedGrants(state)
+  const connection = state.reducedAt < renewing.connectUntil ? 'any' : 'kept'
   for (const grant of renewing.grants) {
     if (now < grant.nextAt || hasInstanceEnded(state, grant.range.owner)) continue
     grant.nextAt = now + computeResendMs(state)
-    work.effects.push(buildGrantEffect(grant.service, grant.range, undefined))
+    work.effects.push(buildGrantEffect(grant.service, grant.range, undefined, connection))
   }
 }
 
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -1,6 +1,7 @@
 import type { RefusalReason, RetryReason } from '../domain/outcome.js'
 import type { ChangeKind } from './changeLags.js'
 import type { LoadReport } from './events.js'
+import type { GrantConnection } from './grantConnections.js'
 import type { CallerLimits, GrantingRecord, Placement, PlacementChange } from './model.js'
 
 /** Numbers of log events; docs/EVENTS.md lists what each means. */
@@ -33,6 +34,8 @@
   ownerUnreachable: 4206,
   placementConflict: 4207,
   grantFenced: 4208,
+  grantConnectionsChanged: 4209,
+  predecessorStopped: 4210,
   gatewayStopping: 4301
 } as const
 
@@ -64,10 +67,12 @@
   /** `write`: sequence number of the write within this process; a write that is sent again keeps its number. */
   | { kind: 'write-placement', write: number, placement: Placement, revision: number, leaderRevision: number }
   | { kind: 'read-store' }
-  | { kind: 'grant', service: string, backend: string, address: string, from: number, to: number, fence: number, holdMs: number, handover: string | undefined }
+  | { kind: 'grant', service: string, backend: string, address: string, from: number, to: number, fence: number, holdMs: number, handover: string | undefined, connection: GrantConnection }
   | { kind: 'release', service: string, backend: string, address: string, from: number, to: number, fence: number }
   /** `inFlight`: this host's own requests in flight, by backend server. */
   | { kind: 'report-load', address: string, report: LoadReport, inFlight: Map<string, number> }
+  /** Notifies a previous granting host, which may not have stopped, that it was replaced. */
+  | { kind: 'notify-predecessor', address: string, report: LoadReport }
   | { kind: 'publish-placement', change: PlacementChange, host: string | undefined }
   | { kind: 'watch-store', isOn: boolean }
   /** Relays the store's changes to the hosts that report to this one. */
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -17,6 +17,8 @@
   | { kind: 'released', handover: string | undefined }
   | { kind: 'fenced' }
   | { kind: 'connection-refused' }
+  /** There was no connection over which the call may be sent. */
+  | { kind: 'not-sent' }
   | { kind: 'failed' }
 
 /** Outcome of a conditional write to the store. */
@@ -74,6 +76,8 @@
   renewals: string[]
   /** Time since a report was sent that the granting host answered with these owners, in milliseconds; 0 if the sender is the granting host. */
   renewalsAgeMs?: number | undefined
+  /** Time since that report for which the receiver may open connections to renew these grants, in milliseconds; as long as it may renew them if undefined. */
+  connectMs?: number | undefined
   /** Age of the load figures, in milliseconds; 0 if the sender is the granting host. */
   loadAgeMs?: number | undefined
   /** Number of hosts that report to the sender directly; `hosts` if undefined. */
--- a/src/core/gateway/grantCalls.ts
+++ b/src/core/gateway/grantCalls.ts
@@ -1,4 +1,5 @@
 import type { GatewayEffect } from './effects.js'
+import type { GrantConnection } from './grantConnections.js'
 import type { KeyOwner, KeyRange } from './model.js'
 import type { GatewayState } from './state.js'
 import { holdMs } from './limits.js'
@@ -7,9 +8,9 @@
 export const failedCallRetryMs = 150
 
 /** Builds the call that grants a range to its owner or renews the grant. */
-export function buildGrantEffect (service: string, range: KeyRange, handover: string | undefined): GatewayEffect {
+export function buildGrantEffect (service: string, range: KeyRange, handover: string | undefined, connection: GrantConnection): GatewayEffect {
   const { owner, from, to, fence } = range
-  return { kind: 'grant', service, backend: owner.id, address: owner.address, from, to, fence, holdMs, handover }
+  return { kind: 'grant', service, backend: owner.id, address: owner.address, from, to, fence, holdMs, handover, connection }
 }
 
 /** Whether a newer instance of a backend server, or a newer backend server at the same address, proves that this instance has ended. */
--- a/src/core/gateway/grantSteps.ts
+++ b/src/core/gateway/grantSteps.ts
@@ -5,6 +5,7 @@
 import { computeResendMs, recordAnswerTime } from './grantAnswerTimes.js'
 import { buildGrantEffect, hasInstanceEnded, failedCallRetryMs } from './grantCalls.js'
 import { takeFence } from './grantChanges.js'
+import { chooseGrantConnection } from './grantConnections.js'
 import { findGrant } from './grantSearch.js'
 import { isAllowedToMoveKeys } from './leadership.js'
 import { unreachableOwnerAvoidanceMs, confirmationDelayMs, maxHoldMs, releaseResendMs, renewalMs, renewalValidityMs } from './limits.js'
@@ -58,7 +59,7 @@
   for (const range of grant.supersededRanges) {
     if (hasInstanceEnded(work.state, range.owner)) continue
     grant.latestArrivalAt = work.state.reducedAt
-    work.effects.push(buildGrantEffect(grant.service, range, undefined))
+    work.effects.push(buildGrantEffect(grant.service, range, undefined, chooseGrantConnection(work.state)))
   }
 }
 
@@ -100,7 +101,7 @@
     grant.targetLatestArrivalAt = work.state.reducedAt
     grant.stepCalledAt ??= work.state.now
   }
-  work.effects.push(buildGrantEffect(grant.service, range, grant.step === 'grant' ? grant.handover : undefined))
+  work.effects.push(buildGrantEffect(grant.service, range, grant.step === 'grant' ? grant.handover : undefined, chooseGrantConnection(work.state)))
 }
 
 function sendRelease (work: GatewayWork, grant: ManagedGrant, previous: KeyOwner): void {
@@ -130,6 +131,7 @@
   // A later call has been confirmed, so the failure of this one is irrelevant.
   if (event.sentAt <= grant.confirmedAt) return
   grant.nextAt = Math.min(grant.nextAt, now + failedCallRetryMs)
+  if (event.outcome.kind === 'not-sent') return
   const { owner } = grant.range
   const confirmedAt = Math.max(grant.confirmedAt, granting.ownerConfirmedAt.get(owner.id) ?? -Infinity)
   recordOwnerFailure(granting, owner.id, event.sentAt)
--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -1,3 +1,4 @@
+import type { GrantConnection } from './grantConnections.js'
 import type { GrantingHost, KeyRange, Placement } from './model.js'
 import type { LoadTotals } from './loadTotals.js'
 import type { VersionedPlacement } from './placementChange.js'
@@ -69,6 +70,14 @@
   hasPossiblePredecessors: boolean
   /** Until when a predecessor that lost the store may continue to renew grants. */
   predecessorsActiveUntil: number
+  /** When the previous granting hosts are notified next. */
+  noticeAt: number
+  /** When each host last reported, directly or through a collector, since this one became the leader. */
+  hostReportedAt: Map<string, number>
+  /** Until when grants may be sent over new connections. */
+  connectUntil: number
+  /** Connections over which grants were sent in the last tick. */
+  grantConnection: GrantConnection
   /** Whether this host has begun to record in the store that all predecessors have stopped. */
   isPredecessorStopRecorded: boolean
   grants: ManagedGrant[]
@@ -146,6 +155,10 @@
     expectedHosts: 1,
     activePredecessors: [],
     hasPossiblePredecessors: false,
+    noticeAt: now,
+    hostReportedAt: new Map(),
+    connectUntil: -Infinity,
+    grantConnection: 'any',
     isPredecessorStopRecorded: false,
     predecessorsActiveUntil: 0,
     grants: [],
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -2,8 +2,8 @@
 import type { GrantingHost } from './model.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { largeHostProcessorShare, resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, smallHostDelayMs, maxStoreOutageMs } from './limits.js'
-import { notifyFormerGrantingHost } from './loadExchange.js'
+import { largeHostProcessorShare, resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, smallHostDelayMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs } from './limits.js'
+import { buildNotice, notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
 import { sendPlacementChange } from './publishing.js'
 import { buildCollectingState } from './collectingState.js'
@@ -11,8 +11,6 @@
 
 /** Timeout of an unanswered claim, in milliseconds: longer than the delays of the store. */
 const claimTimeoutMs = 4000
-/** Share of the lease, from its last confirmed renewal, in which keys may move; the remainder covers delays of calls in flight. */
-const movingLeaseShare = 0.8
 /** Maximum number of previous granting hosts that are recorded: no more can have been elected in the time for which one may continue without the store. */
 const maxPredecessors = Math.ceil(maxStoreOutageMs / leadershipTtlMs) + 1
 
@@ -65,6 +63,7 @@
 function advanceLease (work: GatewayWork): void {
   const { granting, now } = work.state
   if (now - granting.confirmedAt > maxStoreOutageMs) return endLeadership(work, 'store unreachable for too long')
+  notifyPredecessors(work)
   recordPredecessorsStopped(work)
   const isUnanswered = granting.renewAnsweredAt < granting.renewSentAt && now - granting.renewSentAt >= resendMs
   if (now < granting.renewAt && !isUnanswered) return
@@ -73,6 +72,19 @@
   work.effects.push({ kind: 'renew-lease', lease: granting.lease })
 }
 
+/**
+ * Notifies the previous granting hosts that may not have stopped: one that is cut off from the store learns only from other
+ * hosts that it was replaced, and those that reported to it may have been lost.
+ */
+function notifyPredecessors (work: GatewayWork): void {
+  const { granting, identity, now } = work.state
+  if (granting.activePredecessors.length === 0 || now >= granting.predecessorsActiveUntil || now < granting.noticeAt) return
+  granting.noticeAt = now + predecessorNoticeMs
+  // This host may not have read its own record yet.
+  const report = { ...buildNotice(work.state), granting: { host: { host: identity.host, address: identity.address }, revision: granting.leaderRevision } }
+  for (const { address } of granting.activePredecessors) work.effects.push({ kind: 'notify-predecessor', address, report })
+}
+
 /** Records in the store, once, that all previous granting hosts have stopped. */
 function recordPredecessorsStopped (work: GatewayWork): void {
   const { granting, now } = work.state
@@ -144,7 +156,9 @@
   }
   const { granting } = state
   if (granting.role !== 'leading' || granting.activePredecessors.length === 0 || report.granting.revision < granting.leaderRevision) return
+  if (!granting.activePredecessors.some(each => each.host === report.host)) return
   granting.activePredecessors = granting.activePredecessors.filter(each => each.host !== report.host)
+  work.effects.push({ kind: 'log', event: 'predecessorStopped', fields: { host: report.host, left: granting.activePredecessors.length } })
   if (granting.activePredecessors.length === 0) granting.predecessorsActiveUntil = Math.min(granting.predecessorsActiveUntil, state.now)
 }
 
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -51,10 +51,16 @@
 
 /** TTL of the granting host's lease, in milliseconds: short, since keys can't move until the lease of a lost host has expired. */
 export const leadershipTtlMs = 1500
+/** Share of the lease, from its last confirmed renewal, in which keys may move and connections may be opened to renew grants; the remainder covers delays of calls in flight. */
+export const movingLeaseShare = 0.8
 /** Time between two renewals of that lease, in milliseconds. */
 export const leadershipRenewalMs = 400
 /** Time for which the granting host keeps renewing grants without contact to the store, in milliseconds: the longest planned store outage. */
 export const maxStoreOutageMs = 10_000
+/** Time between two notices of a new granting host to those before it that may not have stopped, in milliseconds. */
+export const predecessorNoticeMs = 250
+/** Time without a report after which a host no longer counts as part of the fleet, in milliseconds: longer than a restart, and than most cuts between two hosts. */
+export const forgottenHostMs = 60_000
 /** Upper bound of the random delay before a host claims leadership, in milliseconds: hosts should not all claim at once. */
 export const claimJitterMs = 120
 /** Processor share, in cores, from which a host claims leadership without an additional delay: granting takes about a third of a core for 150 owners. */
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -9,6 +9,7 @@
 import { addCollectedLoad, buildCollectorAnswer, chooseReportAddress } from './collecting.js'
 import { addReport, countInFlight, dropReport } from './loadTotals.js'
 import { computeStoreAgeMs } from './storeFreshness.js'
+import { computeConnectMs } from './grantConnections.js'
 import { listMemberRenewals, listOwnersToRenew } from './renewerAssignment.js'
 import { listConfirmedRenewals } from './delegatedRenewals.js'
 import { findRange } from './routing.js'
@@ -59,7 +60,12 @@
   if (former === undefined || state.grantingHost === undefined || former === state.grantingHost.address || former === state.identity.address) return
   // A collector reports to the former granting host itself.
   if (former === state.collector?.address) return
-  work.effects.push({ kind: 'report-load', address: former, report: { ...buildReportHead(state), backends: [], keys: [], renewed: [] }, inFlight: new Map() })
+  work.effects.push({ kind: 'report-load', address: former, report: buildNotice(state), inFlight: new Map() })
+}
+
+/** Builds a report without load, which tells another host who grants keys. */
+export function buildNotice (state: GatewayState): LoadReport {
+  return { ...buildReportHead(state), backends: [], keys: [], renewed: [] }
 }
 
 /** Schedules the next report earlier when requests in flight at a backend server grow fast. */
@@ -185,7 +191,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
+  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
 }
 
 /** Builds the answer to a host's report; undefined when hosts should not report to this one. */
--- a/src/core/gateway/renewalState.ts
+++ b/src/core/gateway/renewalState.ts
@@ -24,6 +24,8 @@
   owners: ReadonlySet<string>
   /** Until when it may renew without a new request from the granting host. */
   validUntil: number
+  /** Until when it may open connections for renewals; after that it uses those that were kept open. */
+  connectUntil: number
   /** Answers to reports sent before this time are ignored, because the process was paused in between. */
   ignoreReportsBefore: number
   grants: RenewedGrant[]
@@ -33,5 +35,5 @@
 
 /** Builds the state of a host that renews no grants. */
 export function buildRenewalState (): RenewalState {
-  return { owners: new Set(), validUntil: -Infinity, ignoreReportsBefore: -Infinity, grants: [], listedVersion: undefined }
+  return { owners: new Set(), validUntil: -Infinity, connectUntil: -Infinity, ignoreReportsBefore: -Infinity, grants: [], listedVersion: undefined }
 }
--- a/src/core/gateway/renewerAssignment.ts
+++ b/src/core/gateway/renewerAssignment.ts
@@ -4,7 +4,7 @@
 import type { GatewayState, GatewayWork } from './state.js'
 import { recordOwnerConfirmation, recordOwnerFailure } from './ownerReachability.js'
 import {
-  chooseRenewersMs, computeReportMs, maxRenewedOwners, renewalMs, renewalValidityMs, renewerTimeoutReports, renewerShareFactor, minRenewerTimeoutMs, reportedRenewalTakeoverMs, renewalTakeoverMs
+  chooseRenewersMs, computeReportMs, forgottenHostMs, maxRenewedOwners, renewalMs, renewalValidityMs, renewerTimeoutReports, renewerShareFactor, minRenewerTimeoutMs, reportedRenewalTakeoverMs, renewalTakeoverMs
 } from './limits.js'
 
 /** Lists the owners whose grants a host is asked to renew. */
@@ -32,6 +32,7 @@
   const reportedAt = reducedAt - report.ageMs
   const { zone, placement, address = '', processorShare = 0 } = report
   const known = granting.renewers.get(report.host)
+  granting.hostReportedAt.set(report.host, Math.max(reportedAt, granting.hostReportedAt.get(report.host) ?? -Infinity))
   // A host that has changed its collector may be named by the former one for a moment.
   if (known !== undefined && reportedAt < known.reportedAt) return
   const renewer: RenewerHost = known ?? { zone, address, processorShare, isCollecting: false, collector, reportedAt, placement, owners: new Set() }
@@ -159,6 +160,7 @@
     for (const [host, until] of hosts) if (until <= now) hosts.delete(host)
     if (hosts.size === 0) granting.renewableUntil.delete(owner)
   }
+  for (const [host, at] of granting.hostReportedAt) if (now - at > forgottenHostMs) granting.hostReportedAt.delete(host)
 }
 
 /** Finds the host with the fewest owners, in the owner's zone if one has capacity there, else in its region, else anywhere. */
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -80,7 +80,7 @@
   applyGrantingHostProgress(work, event.load, event.reportedAt)
   // A host that has missed a change might renew grants of keys that are moving to another owner.
   const isBehind = isLaterVersion(event.load.placement, work.state.placementVersion)
-  applyRenewalRequest(work.state, isBehind ? [] : event.load.renewals, event.reportedAt - (event.load.renewalsAgeMs ?? 0))
+  applyRenewalRequest(work.state, isBehind ? [] : event.load.renewals, event.reportedAt - (event.load.renewalsAgeMs ?? 0), event.load.connectMs)
   keepMemberRenewals(work.state, isBehind ? { ...event.load, memberRenewals: [] } : event.load, event.reportedAt)
   applyFleetLoad(work, event.load, event.reported)
   applyCollectorChoice(work, event.load)
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -437,6 +437,8 @@
     | undefined;
   /** Owners whose grants the hosts that report to the receiver are asked to renew. */
   memberRenewals: MemberRenewals[];
+  /** Time since that report for which the receiver may open connections to renew these grants, in milliseconds. */
+  connectMs?: number | undefined;
 }
 
 export interface Collector {
@@ -4437,6 +4439,7 @@
     reporters: 0,
     collector: undefined,
     memberRenewals: [],
+    connectMs: undefined,
   };
 }
 
@@ -4475,6 +4478,9 @@
     for (const v of message.memberRenewals) {
       MemberRenewals.encode(v!, writer.uint32(98).fork()).join();
     }
+    if (message.connectMs !== undefined) {
+      writer.uint32(104).uint32(message.connectMs);
+    }
     return writer;
   },
 
@@ -4579,6 +4585,14 @@
             message.memberRenewals.push(MemberRenewals.decode(reader, reader.uint32()));
             continue;
           }
+          case 13: {
+            if (tag !== 104) {
+              break;
+            }
+
+            message.connectMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/runtime/backendClient.ts
+++ b/src/runtime/backendClient.ts
@@ -8,7 +8,7 @@
 import { decodeGrantAnswer, grantPath, headerNames, healthPath } from '../protocol/grantWire.js'
 import { isParseError, isTooLong, watchAnswer, watchIdleConnections } from './answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from './exchange.js'
-import { areHeadersValid, isFinalStatus } from './messageHead.js'
+import { hasValidHeaders, isFinalStatus } from './messageHead.js'
 import { throttleReading } from './readThrottle.js'
 import { openRequest } from './requestOpening.js'
 import { createSendIdSource } from './sendIds.js'
@@ -149,7 +149,7 @@
       dropRefusalBody(request, response, timers)
       return
     }
-    if (isTooLong(response) || !isFinalStatus(response.statusCode ?? 0) || !areHeadersValid(response.rawHeaders)) {
+    if (isTooLong(response) || !isFinalStatus(response.statusCode ?? 0) || !hasValidHeaders(response.rawHeaders)) {
       finish('malformed')
       request.destroy()
       return
--- a/src/runtime/callerServer.ts
+++ b/src/runtime/callerServer.ts
@@ -11,7 +11,7 @@
 import { headerNames } from '../protocol/grantWire.js'
 import { createCallerConnections } from './callerConnections.js'
 import { formatHeaders, listPassedHeaders } from './exchange.js'
-import { areHeadersValid } from './messageHead.js'
+import { hasValidHeaders } from './messageHead.js'
 import { refuseUnreadable } from './requestErrors.js'
 
 /** Number of body bytes that are buffered before routing; a request with a smaller body can be retried. */
@@ -93,7 +93,7 @@
 function acceptCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, keepAlive: KeepAliveState): void {
   response.on('error', () => {})
   request.on('error', () => {})
-  if (!areHeadersValid(request.rawHeaders)) {
+  if (!hasValidHeaders(request.rawHeaders)) {
     options.countRefusal('bad-request')
     writeRefusal(request, response, { outcome: 'not-run', reason: 'bad-request' }, { isClosing: () => true })
     return
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -7,7 +7,7 @@
 import type { GatewayWire } from './ports.js'
 import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
-import { areHeadersValid, isFinalStatus } from '../messageHead.js'
+import { hasValidHeaders, isFinalStatus } from '../messageHead.js'
 import { throttleReading } from '../readThrottle.js'
 import { createBackendConnections } from './backendConnections.js'
 import { openRequest } from '../requestOpening.js'
@@ -192,7 +192,7 @@
 
 /** Checks the head of an answer; returns a failure if the answer can't be sent on, belongs to another request, has an encoding that was not accepted, or is too long. */
 function checkAnswer (response: IncomingMessage, exchange: GatewayExchange, wire: GatewayWire): SendFailure | undefined {
-  if (!isFinalStatus(response.statusCode ?? 0) || !areHeadersValid(response.rawHeaders)) return 'malformed'
+  if (!isFinalStatus(response.statusCode ?? 0) || !hasValidHeaders(response.rawHeaders)) return 'malformed'
   const echoed = response.headers[wire.headers.requestId.toLowerCase()]
   if (exchange.requestId !== '' && echoed !== exchange.requestId) return 'wrong-request'
   if (response.headers['content-encoding'] !== undefined && exchange.request.headers['accept-encoding'] === undefined) return 'malformed'
--- a/src/runtime/gateway/callerServer.ts
+++ b/src/runtime/gateway/callerServer.ts
@@ -9,7 +9,7 @@
 import { createServer } from 'node:http'
 import { formatHeaders, listPassedHeaders, readInto } from '../exchange.js'
 import { createCallerConnections } from '../callerConnections.js'
-import { areHeadersValid } from '../messageHead.js'
+import { hasValidHeaders } from '../messageHead.js'
 import { refuseUnreadable } from '../requestErrors.js'
 
 /** Number of body bytes that are buffered before routing; a request with a smaller body can be retried. */
@@ -114,7 +114,7 @@
     options.recordRefusal({ requestId: exchange.requestId, reason, status })
     writeRefusal(exchange, { reason, status, retryAfterMs: undefined }, options, true)
   }
-  if (countHostHeaders(request) > 1 || !areHeadersValid(request.rawHeaders)) return refuse('bad-request', 400)
+  if (countHostHeaders(request) > 1 || !hasValidHeaders(request.rawHeaders)) return refuse('bad-request', 400)
   if (countHeadBytes(request) > context.maxHeaderBytes) return refuse('oversized', 431)
   if (Number(request.headers['content-length'] ?? 0) > context.maxBodyBytes) return refuse('oversized', 413)
   const timeoutMs = readTimeout(request, options.wire, context.waitedMs)
--- a/src/runtime/gateway/fleetExchange.ts
+++ b/src/runtime/gateway/fleetExchange.ts
@@ -45,6 +45,8 @@
   listen: (address: string) => Promise<ListenOutcome>
   /** Sends a report to the granting host or a collector; opens the stream if there is none. `inFlight`: this host's own requests in flight, by backend server. */
   report: (address: string, report: LoadReport, inFlight: Map<string, number>) => void
+  /** Sends one report to a host that is not the granting host, over a connection of its own; an answer is ignored. */
+  notify: (address: string, report: LoadReport) => void
   /** Sends a change of owners to all hosts that report to this one, or to one of them. */
   publish: (change: PlacementChange, host?: string) => void
   /** Relays store changes to the hosts that report to this one. */
@@ -63,6 +65,8 @@
 export function createFleetExchange (parts: FleetExchangeParts): FleetExchange {
   const fleetServer = createFleetServer(parts)
   let connection: GrantingHostConnection | undefined
+  /** Functions that close the connections of notices in progress. */
+  const notices = new Set<() => void>()
   let failureLoggedAt = -Infinity
   const abortConnection = (aborted: GrantingHostConnection, problem: string) => {
     if (connection !== aborted) return
@@ -75,13 +79,14 @@
     failureLoggedAt = now
     parts.log(runtimeEventNumbers.peerCallFailed, 'peerCallFailed', { address: aborted.address, problem })
   }
+  const openClient = (address: string) => new FleetExchangeClient(address, parts.credentials.client, {
+    'grpc.ssl_target_name_override': 'fulmar-router',
+    'grpc.default_authority': 'fulmar-router',
+    'grpc.initial_reconnect_backoff_ms': 100,
+    'grpc.max_reconnect_backoff_ms': 1000
+  })
   const openConnection = (address: string): GrantingHostConnection => {
-    const client = new FleetExchangeClient(address, parts.credentials.client, {
-      'grpc.ssl_target_name_override': 'fulmar-router',
-      'grpc.default_authority': 'fulmar-router',
-      'grpc.initial_reconnect_backoff_ms': 100,
-      'grpc.max_reconnect_backoff_ms': 1000
-    })
+    const client = openClient(address)
     const opened: GrantingHostConnection = { address, client, stream: client.follow(), unanswered: [], viewEntries: new Map() }
     opened.stream.on('data', (update: FleetUpdate) => {
       if (connection === opened) handleUpdate(opened, update, parts)
@@ -110,6 +115,22 @@
       connection.unanswered.push({ sentAt: now, inFlight })
       connection.stream.write(encodeLoadReport(report))
     },
+    notify: (address, report) => {
+      const client = openClient(address)
+      const stream = client.follow()
+      const closeNotice = () => {
+        notices.delete(closeNotice)
+        stream.cancel()
+        client.close()
+      }
+      notices.add(closeNotice)
+      // A host that can't be reached is notified again.
+      stream.on('error', () => {})
+      stream.on('data', () => {})
+      stream.write(encodeLoadReport(report))
+      stream.end()
+      parts.timers.schedule(closeDelayMs, closeNotice)
+    },
     publish: fleetServer.publish,
     relay: fleetServer.relay,
     close: () => {
@@ -117,6 +138,7 @@
       connection = undefined
       last?.stream.cancel()
       last?.client.close()
+      for (const closeNotice of notices) closeNotice()
       fleetServer.server.forceShutdown()
     }
   }
--- a/src/runtime/gateway/grantClient.ts
+++ b/src/runtime/gateway/grantClient.ts
@@ -1,11 +1,13 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { GrantOutcome } from '../../core/gateway/events.js'
+import type { GrantConnection } from '../../core/gateway/grantConnections.js'
 import type { TimerService } from '../timerService.js'
 import type { EncodedCall, GatewayWire } from './ports.js'
 import { Agent } from 'node:http'
 import { isParseError, watchAnswer, watchIdleConnections } from '../answerExcess.js'
 import { splitAddress } from './backendSender.js'
+import { createKeptConnections } from './keptConnections.js'
 import { openRequest } from '../requestOpening.js'
 
 /** Time after which an idle connection for grants is closed, in milliseconds: several renewal intervals. */
@@ -19,9 +21,12 @@
 /** Backend server that a call is sent to. */
 export type GrantTarget = { backend: string, address: string }
 
+/** How a call is sent: its timeout, in milliseconds, and the connections over which it may be sent. */
+export type GrantCallOptions = { timeoutMs: number, connection: GrantConnection }
+
 /** Sends calls that grant keys to backend servers or release them. */
 export type GrantClient = {
-  call: (kind: 'grant' | 'release', target: GrantTarget, call: EncodedCall, timeoutMs: number, done: (outcome: GrantOutcome) => void) => void
+  call: (kind: 'grant' | 'release', target: GrantTarget, call: EncodedCall, options: GrantCallOptions, done: (outcome: GrantOutcome) => void) => void
   close: () => void
 }
 
@@ -33,11 +38,20 @@
   const agent = new Agent({ keepAlive: true, maxSockets: maxConnectionsPerBackend, timeout: idleConnectionTimeoutMs })
   const singleUse = new Agent({ keepAlive: false, maxSockets: maxConnectionsPerBackend })
   const backendBySocket = new WeakMap<Socket, string>()
-  watchIdleConnections(agent, { mayKeep: () => true, notify: socket => options.notifyStrayBytes(backendBySocket.get(socket) ?? '') })
+  const confirmedSockets = new WeakSet<Socket>()
+  const kept = createKeptConnections(agent)
+  watchIdleConnections(agent, {
+    mayKeep: socket => confirmedSockets.has(socket),
+    notify: socket => options.notifyStrayBytes(backendBySocket.get(socket) ?? '')
+  })
   return {
-    call: (kind, target, call, timeoutMs, done) => {
+    call: (kind, target, call, { timeoutMs, connection }, done) => {
       // A release uses a connection of its own: on a reused one, a repeated earlier answer would be taken for the answer to the release, before the work on the keys has ended.
-      sendCall(kind, target, call, timeoutMs, { ...options, agent: kind === 'release' ? singleUse : agent, backendBySocket }, done)
+      if (kind === 'release') return sendCall(kind, target, call, timeoutMs, { ...options, agent: singleUse, backendBySocket, confirmedSockets, onConnectionClosed: () => {} }, done)
+      const address = splitAddress(target.address)
+      const send = () => sendCall(kind, target, call, timeoutMs, { ...options, agent, backendBySocket, confirmedSockets, onConnectionClosed: () => kept.advance(address) }, done)
+      if (connection === 'any') return send()
+      kept.run(address, { send, abandon: () => done({ kind: 'not-sent' }) })
     },
     close: () => {
       agent.destroy()
@@ -46,7 +60,8 @@
   }
 }
 
-type CallContext = GrantClientOptions & { agent: Agent, backendBySocket: WeakMap<Socket, string> }
+/** `confirmedSockets`: connections on which a backend server has confirmed a grant. `onConnectionClosed` is called once for each connection. */
+type CallContext = GrantClientOptions & { agent: Agent, backendBySocket: WeakMap<Socket, string>, confirmedSockets: WeakSet<Socket>, onConnectionClosed: () => void }
 
 function sendCall (
   kind: 'grant' | 'release',
@@ -56,7 +71,7 @@
   context: CallContext,
   done: (outcome: GrantOutcome) => void
 ): void {
-  const { agent, wire, timers, backendBySocket, notifyStrayBytes } = context
+  const { agent, wire, timers, backendBySocket, confirmedSockets, notifyStrayBytes } = context
   let isFinished = false
   const finish = (outcome: GrantOutcome) => {
     if (isFinished) return
@@ -91,7 +106,10 @@
     request.socket?.destroy()
   })
   let answer: IncomingMessage | undefined
-  request.on('socket', socket => { backendBySocket.set(socket, target.backend) })
+  request.on('socket', socket => {
+    if (!backendBySocket.has(socket)) socket.once('close', context.onConnectionClosed)
+    backendBySocket.set(socket, target.backend)
+  })
   // When a backend server switches protocols, the request closes without a response.
   request.on('close', () => {
     if (answer === undefined) finish({ kind: 'failed' })
@@ -111,6 +129,7 @@
     response.on('error', () => finish({ kind: 'failed' }))
     response.on('close', () => finish({ kind: 'failed' }))
     response.on('end', () => {
+      if (response.statusCode === 200 && request.socket !== null) confirmedSockets.add(request.socket)
       const handover = response.headers[wire.headers.handover.toLowerCase()]
       switch (response.statusCode) {
         case 200: return finish(kind === 'release' ? { kind: 'released', handover: Array.isArray(handover) ? handover[0] : handover } : { kind: 'granted' })
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -53,6 +53,7 @@
     case 'grant': return sendGrant(effect, parts)
     case 'release': return sendRelease(effect, parts)
     case 'report-load': return parts.fleetExchange.report(effect.address, effect.report, effect.inFlight)
+    case 'notify-predecessor': return parts.fleetExchange.notify(effect.address, effect.report)
     case 'publish-placement': return parts.fleetExchange.publish(effect.change, effect.host)
     case 'watch-store': return parts.storeFollower.setWatching(effect.isOn)
     case 'relay-changes': return parts.fleetExchange.relay()
@@ -115,14 +116,14 @@
 function sendGrant (effect: Extract<GatewayEffect, { kind: 'grant' }>, parts: GatewayInterpreterParts): void {
   const sentAt = parts.clock.now()
   const { service, from, to, fence } = effect
-  parts.grantClient.call('grant', effect, parts.wire.encodeGrant(effect), grantTimeoutMs, outcome => {
+  parts.grantClient.call('grant', effect, parts.wire.encodeGrant(effect), { timeoutMs: grantTimeoutMs, connection: effect.connection }, outcome => {
     parts.post({ kind: 'grant-ended', now: parts.clock.now(), sentAt, service, from, to, fence, outcome })
   })
 }
 
 function sendRelease (effect: Extract<GatewayEffect, { kind: 'release' }>, parts: GatewayInterpreterParts): void {
   const { service, from, to, fence } = effect
-  parts.grantClient.call('release', effect, parts.wire.encodeRelease(effect), releaseTimeoutMs, outcome => {
+  parts.grantClient.call('release', effect, parts.wire.encodeRelease(effect), { timeoutMs: releaseTimeoutMs, connection: 'any' }, outcome => {
     parts.post({ kind: 'release-ended', now: parts.clock.now(), service, from, to, fence, outcome })
   })
 }
--- a/src/runtime/messageHead.ts
+++ b/src/runtime/messageHead.ts
@@ -11,7 +11,7 @@
  * Returns whether all headers of a message can be sent on, from the flat list of names and values that Node.js gives.
  * The parser of Node.js accepts names that its own `request` and `writeHead` throw on, such as empty ones and those with a blank.
  */
-export function areHeadersValid (raw: readonly string[]): boolean {
+export function hasValidHeaders (raw: readonly string[]): boolean {
   for (let index = 0; index + 1 < raw.length; index += 2) {
     if (!headerNamePattern.test(raw[index] ?? '') || !headerValuePattern.test(raw[index + 1] ?? '')) return false
   }
--- a/src/runtime/peerClient.ts
+++ b/src/runtime/peerClient.ts
@@ -14,7 +14,7 @@
 import { decodeRefusal, encodeControl, encodeRequestHead } from '../protocol/peerCodec.js'
 import { formatHeaders, readInto } from './exchange.js'
 import { createCreditedReader, createCreditedWriter } from './frameStream.js'
-import { areHeadersValid, isFinalStatus } from './messageHead.js'
+import { hasValidHeaders, isFinalStatus } from './messageHead.js'
 
 /** Traffic classes; each has a stream of its own, so that none blocks another. */
 export const trafficClasses = ['control', 'interactive', 'bulk'] as const
@@ -307,7 +307,7 @@
   switch (body.$case) {
     case 'answer': {
       // The peer may run an earlier release, which passed on heads that can't be written.
-      if (!isFinalStatus(body.answer.status) || !areHeadersValid(formatHeaders(body.answer.headers))) {
+      if (!isFinalStatus(body.answer.status) || !hasValidHeaders(formatHeaders(body.answer.headers))) {
         forward.exchange.cancelForward?.()
         refuse(forward, { outcome: 'unknown', reason: 'backend-rubbish' })
         return
--- a/tests/collectorRenewals.spec.ts
+++ b/tests/collectorRenewals.spec.ts
@@ -121,7 +121,7 @@
   const member = { host: 'host-2', zone: 'zone-1', placement: version, granting: undefined, renewed: memberReport.renewed, address: 'host-2', processorShare: 0.27, ageMs: 12 }
   const report: LoadReport = { ...memberReport, address: 'host-1', processorShare: 0.675, hosts: 3, isCollecting: true, members: [member] }
   t.deepEqual(decodeLoadReport(WireReport.decode(WireReport.encode(encodeLoadReport(report)).finish())), report)
-  const load = buildLoad({ collector, renewalsAgeMs: 40, loadAgeMs: 30, reporters: 21, memberRenewals: [{ host: 'host-2', owners: ['a', 'b'] }] })
+  const load = buildLoad({ collector, connectMs: 900, renewalsAgeMs: 40, loadAgeMs: 30, reporters: 21, memberRenewals: [{ host: 'host-2', owners: ['a', 'b'] }] })
   const { byId, ...decoded } = decodeFleetLoad(FleetLoadView.decode(FleetLoadView.encode(encodeFleetLoad(load, new Map())).finish()), new Map())
   t.deepEqual(decoded, load)
   t.is(byId?.size, 0)
--- a/tests/malformedHeads.spec.ts
+++ b/tests/malformedHeads.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { createServer } from 'node:net'
 import { applyDocument } from '../src/operator/applyDocument.js'
-import { areHeadersValid, isFinalStatus } from '../src/runtime/messageHead.js'
+import { hasValidHeaders, isFinalStatus } from '../src/runtime/messageHead.js'
 import { call, startFleet } from './support/fleet.js'
 import { callGateway, startPlatformFleet, waitFor } from './support/platform/platformFleet.js'
 import { openCaller } from './support/platform/rawCaller.js'
@@ -129,7 +129,7 @@
   }
   const text = fc.array(fc.nat({ max: 255 }), { maxLength: 4 }).map(codes => String.fromCharCode(...codes))
   fc.assert(fc.property(text, text, (name, value) => {
-    t.is(areHeadersValid([name, value]), isWritable(200, [name, value]), JSON.stringify([name, value]))
+    t.is(hasValidHeaders([name, value]), isWritable(200, [name, value]), JSON.stringify([name, value]))
   }), { seed: 38, numRuns: 3000 })
   for (let status = 0; status <= 1100; status++) if (status < 100 || status >= 200) t.is(isFinalStatus(status), isWritable(status, []), String(status))
   for (let status = 100; status < 200; status++) t.false(isFinalStatus(status))
--- a/tests/oddEntries.spec.ts
+++ b/tests/oddEntries.spec.ts
@@ -131,7 +131,7 @@
   for (const target of refusedTargets) {
     sender.send(exchange, { kind: 'send', id: '1', attempt: 1, ...target, timeoutMs: 500, mayReuse: true, needsOwnConnection: false, maxIdleMs: 1000, maxConnections: 4 })
     for (const kind of ['grant', 'release'] as const) {
-      const outcome = await new Promise<GrantOutcome>(resolve => grants.call(kind, target, { method: 'POST', path: '/', body: '{}' }, 500, resolve))
+      const outcome = await new Promise<GrantOutcome>(resolve => grants.call(kind, target, { method: 'POST', path: '/', body: '{}' }, { timeoutMs: 500, connection: 'any' }, resolve))
       t.deepEqual(outcome, { kind: 'failed' })
     }
   }
