Every body that is sent on states its framing

Cause: Transfer-Encoding is taken off and Node.js adds no framing for methods that usually have no body. Change: exactly one of Content-Length and Transfer-Encoding is stated for each body, in the gateway and in the router, which did it for chunked bodies of any size. Ruled out: the parser of the server (the head that it read had neither header).

--- a/src/runtime/backendClient.ts
+++ b/src/runtime/backendClient.ts
@@ -7,7 +7,7 @@
 import { Agent } from 'node:http'
 import { decodeGrantAnswer, grantPath, headerNames, healthPath } from '../protocol/grantWire.js'
 import { isParseError, isTooLong, watchAnswer, watchIdleConnections } from './answerExcess.js'
-import { formatHeaders, isDelimited, listPassedHeaders, readInto } from './exchange.js'
+import { formatHeaders, isDelimited, listFramingHeaders, listPassedHeaders, readInto } from './exchange.js'
 import { hasValidHeaders, isFinalStatus } from './messageHead.js'
 import { throttleReading } from './readThrottle.js'
 import { openRequest } from './requestOpening.js'
@@ -160,8 +160,9 @@
 }
 
 function buildHeaders (exchange: Exchange, target: DispatchTarget, sendId: string, timers: TimerService): string[] {
+  const { headers } = exchange.http
   return [
-    ...formatHeaders(exchange.http.headers),
+    ...formatHeaders([...headers, ...listFramingHeaders(headers, exchange.bodyStart, exchange.bodyRest === undefined)]),
     headerNames.request, sendId,
     headerNames.unit, encodeURIComponent(target.unit),
     headerNames.epoch, String(target.epoch),
--- a/src/runtime/exchange.ts
+++ b/src/runtime/exchange.ts
@@ -74,6 +74,17 @@
   return pairs.flatMap(pair => [pair.name, pair.value])
 }
 
+/**
+ * Lists the headers that frame the body of a request, beside those that are passed on: exactly one of Content-Length and
+ * Transfer-Encoding if there is a body. Node.js adds none for methods such as DELETE, whose body would then be read as
+ * the next request. `isWhole`: `first` is the whole body.
+ */
+export function listFramingHeaders (passed: readonly HeaderPair[], first: Buffer, isWhole: boolean): HeaderPair[] {
+  if (passed.some(pair => pair.name.toLowerCase() === 'content-length')) return []
+  if (!isWhole) return [{ name: 'Transfer-Encoding', value: 'chunked' }]
+  return first.length === 0 ? [] : [{ name: 'Content-Length', value: String(first.length) }]
+}
+
 /** Reads a stream to its end and passes its parts to `write`, each after the receiver is ready for it. */
 export function readInto (
   source: Readable,
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -6,7 +6,7 @@
 import type { GatewayExchange, SendAttempt } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
 import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
-import { formatHeaders, isDelimited, listPassedHeaders, readInto } from '../exchange.js'
+import { formatHeaders, isDelimited, listFramingHeaders, listPassedHeaders, readInto } from '../exchange.js'
 import { hasValidHeaders, isFinalStatus } from '../messageHead.js'
 import { throttleReading } from '../readThrottle.js'
 import { createBackendConnections } from './backendConnections.js'
@@ -252,10 +252,7 @@
 function buildHeaders (exchange: GatewayExchange, effect: SendEffect, wire: GatewayWire): string[] {
   const replacedNames = new Set([wire.headers.timeoutMs.toLowerCase(), wire.headers.expectedBackend.toLowerCase()])
   const passed = exchange.headers.filter(pair => !replacedNames.has(pair.name.toLowerCase()))
-  const isBuffered = exchange.rest === undefined
-  const hasLength = passed.some(pair => pair.name.toLowerCase() === 'content-length')
-  const list = formatHeaders(passed)
-  if (isBuffered && !hasLength && exchange.first.length > 0) list.push('Content-Length', String(exchange.first.length))
+  const list = formatHeaders([...passed, ...listFramingHeaders(passed, exchange.first, exchange.rest === undefined)])
   list.push(wire.headers.expectedBackend, effect.backend, wire.headers.timeoutMs, String(effect.timeoutMs))
   return list
 }
