An answer without a length that was reset is not passed on as complete

Cause: the error of the connection was dropped once the answer was streamed, and Node.js marks such an answer complete after an error. Besides, libuv reports a reset that is found in one poll with data as a regular end. Change: one function says whether an answer is whole. One without a length must have ended without an error, on a connection that still has its remote address, after the request was written completely.

--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -1,4 +1,5 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent, SendFailure } from '../../core/gateway/events.js'
 import type { TimerService } from '../timerService.js'
@@ -81,6 +82,7 @@
   const { timers, wire } = options
   let isEnded = false
   let isConnected = false
+  let hasFailed = false
   let response: IncomingMessage | undefined
   const post = (event: GatewayEvent) => {
     if (isEnded) return
@@ -151,6 +153,7 @@
     else onConnect()
   })
   request.on('error', (error: NodeJS.ErrnoException) => {
+    hasFailed = true
     // Errors caused by bytes after a complete answer do not affect that answer.
     if (response?.complete === true) return
     if (sendAttempt.answer !== undefined) {
@@ -172,7 +175,7 @@
       fail(failure)
       return
     }
-    readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool })
+    readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool, hasFailed: () => hasFailed })
   })
 }
 
@@ -206,6 +209,8 @@
   options: BackendSenderOptions
   request: ClientRequest
   pool: BackendConnections
+  /** Whether the connection has failed. */
+  hasFailed: () => boolean
 }
 
 function readAnswer (response: IncomingMessage, exchange: GatewayExchange, sendAttempt: SendAttempt, context: AnswerContext): void {
@@ -217,6 +222,13 @@
   const isNotRun = response.headers[context.options.wire.headers.notRun.toLowerCase()] !== undefined && notRunStatuses.has(status)
   const headers = listPassedHeaders(response.rawHeaders, true)
   const framing = isDelimited(response, exchange.method) ? 'delimited' : 'connection-close'
+  let wasReset = false
+  // Node.js ends an answer without a length when its connection is reset, and reports a reset that arrives together with
+  // data as a regular end. A connection that was reset has no remote address any more.
+  if (framing === 'connection-close') context.request.socket?.prependOnceListener('end', function (this: Socket) { wasReset = this.remoteAddress === undefined })
+  // While the request is still being written, the write may take the error of the connection.
+  const isClosedInOrder = () => !wasReset && !context.hasFailed() && context.request.writableFinished
+  const isWhole = () => response.complete && (framing === 'delimited' || isClosedInOrder())
   const buffered: Buffer[] = []
   let bytes = 0
   const onData = (part: Buffer) => {
@@ -232,15 +244,18 @@
     response.off('data', onData)
     response.off('end', onEnd)
     response.pause()
-    sendAttempt.answer = { status, headers, first: Buffer.concat(buffered), rest: response, framing }
+    sendAttempt.answer = { status, headers, first: Buffer.concat(buffered), rest: response, framing, isWhole }
     context.post({ kind: 'answer-streaming', now: clock.now(), id, attempt, status })
   }
   const onEnd = () => {
-    if (!response.complete) return context.fail('broken-after-send')
+    if (!isWhole()) {
+      context.request.destroy()
+      return context.fail('broken-after-send')
+    }
     // The backend server answered before the whole body was sent. The rest is never sent, so the connection cannot be reused.
     if (!context.request.writableFinished) context.request.destroy()
     if (isNotRun) return context.post({ kind: 'not-run-answered', now: clock.now(), id, attempt, status })
-    sendAttempt.answer = { status, headers, first: Buffer.concat(buffered), rest: undefined, framing }
+    sendAttempt.answer = { status, headers, first: Buffer.concat(buffered), rest: undefined, framing, isWhole }
     context.post({ kind: 'answer-whole', now: clock.now(), id, attempt, status, firstByteAt })
   }
   response.on('data', onData)
--- a/src/runtime/gateway/callerServer.ts
+++ b/src/runtime/gateway/callerServer.ts
@@ -242,7 +242,7 @@
     if (response.destroyed || response.write(part)) then()
     else response.once('drain', then)
   }, isRestComplete => {
-    const isComplete = isRestComplete && answer.rest?.complete === true
+    const isComplete = isRestComplete && answer.isWhole()
     exchange.isAnswered = true
     if (isComplete) response.end()
     else response.socket?.resetAndDestroy()
--- a/src/runtime/gateway/exchanges.ts
+++ b/src/runtime/gateway/exchanges.ts
@@ -9,6 +9,8 @@
   rest: IncomingMessage | undefined
   /** How the body ends: by its stated length or chunked encoding, or when the connection closes, which does not prove that the body is complete. */
   framing: 'delimited' | 'connection-close'
+  /** Whether the body, which has ended, is whole as far as its framing and its connection can show. */
+  isWhole: () => boolean
 }
 
 /** Attempt in progress to send a request to a backend server; `attempt` is its number. */
