An entry must have all fields that backend servers write

Cause: the entry counted as a backend server, and a later start at an address proves that the one before has ended, so that its keys moved without a release.

--- a/tests/platformDecoding.spec.ts
+++ b/tests/platformDecoding.spec.ts
@@ -24,13 +24,15 @@
   t.true(decodePlacement(text) === undefined || typeof decodePlacement(text) === 'object')
 }, { seed: 11, numRuns: 500 })
 
+// Guards against review case 4 (OWNER): an entry without `version` and `cold_left_s` counted as a server and proved the end of another one.
 testProp('a registration with a field that is missing, of another type or not an allowed value is refused', [
-  fc.constantFrom('service', 'address', 'zone', 'slots', 'state'),
+  fc.constantFrom('service', 'address', 'zone', 'version', 'slots', 'state', 'cold_left_s', 'sequence'),
   fc.oneof(fc.constant(undefined), fc.constant(null), fc.object(), fc.constant(-1), fc.constant(1.5), fc.constant('unknown')).filter(value => value !== 'unknown')
 ], (t, field, value) => {
   const decoded = decodeRegistration('i-1', JSON.stringify({ ...registration, [field]: value }))
-  t.is(decoded.kind, 'invalid')
-}, { seed: 12, numRuns: 200 })
+  const isAllowed = field === 'cold_left_s' && value === 1.5
+  t.is(decoded.kind, isAllowed ? 'valid' : 'invalid')
+}, { seed: 12, numRuns: 400 })
 
 test('a configuration that is truncated, or has a route without attempts or target, is refused as a whole', t => {
   const whole = JSON.stringify(buildConfiguration(4))
