The end of an answer and the connections of grants: one concept a file, and known hosts by time

What proves the end of an answer stands in answerEnd.ts; no change of behaviour there. Found by reading: whether grants may use new connections was computed in ticks only, so that a late tick would have held back the grant of a move although the lease was confirmed; it is computed for each call now. A granting host that was elected while another host was lost for good would have waited for that host's reports for as long as it grants; like other silent hosts, it counts for a minute.

--- a/src/core/gateway/collectingState.ts
+++ b/src/core/gateway/collectingState.ts
@@ -16,7 +16,7 @@
 export type CollectingState = LoadTotals & Relay & {
   role: 'none' | 'collecting'
   collected: CollectedLoad
-  /** Owners whose grants each host of the zone is asked to renew; the granting host answered a report sent at `askedAt`. */
+  /** Owners whose grants each host of the zone is asked to renew; the granting host answered a report sent at `askedAt`, and connections may be opened for `connectMs` from then. */
   renewals: Map<string, { owners: readonly string[], askedAt: number, connectMs: number | undefined }>
 }
 
--- a/src/core/gateway/grantConnections.ts
+++ b/src/core/gateway/grantConnections.ts
@@ -1,7 +1,10 @@
 import type { GatewayState, GatewayWork } from './state.js'
-import { leadershipTtlMs, movingLeaseShare } from './limits.js'
+import { forgottenHostMs, leadershipTtlMs, movingLeaseShare } from './limits.js'
 import { computeRenewerTimeoutMs } from './renewerAssignment.js'
 
+/** Maximum number of hosts that a log line names. */
+const maxLoggedHosts = 5
+
 /**
  * Connections over which a grant may be sent: any, opened for it if necessary, or only those that were kept open after
  * their backend server confirmed a grant on them.
@@ -12,26 +15,31 @@
  */
 export type GrantConnection = 'any' | 'kept'
 
-/** Updates until when no other host can have become the granting host, and thus until when grants may be sent over new connections. */
-export function updateConnectUntil (work: GatewayWork): void {
+/** Updates what the reports of the fleet prove, and logs when renewals have to do with kept connections or may open others again. */
+export function updateGrantConnection (work: GatewayWork): void {
   const { state } = work
-  const { granting } = state
+  const { granting, now } = state
   const before = granting.grantConnection
-  granting.connectUntil = Math.max(granting.confirmedAt + leadershipTtlMs * movingLeaseShare, computeReportedUntil(state))
+  granting.reportedUntil = computeReportedUntil(state)
   granting.grantConnection = chooseGrantConnection(state)
   if (granting.grantConnection === before) return
-  const silentHosts = [...granting.hostReportedAt].filter(([, at]) => state.now - at > computeRenewerTimeoutMs(state)).map(([host]) => host)
-  work.effects.push({ kind: 'log', event: 'grantConnectionsChanged', fields: { connections: granting.grantConnection, unconfirmedMs: Math.round(state.now - granting.confirmedAt), silentHosts: silentHosts.slice(0, 5).join(' ') } })
+  const unconfirmedMs = Math.round(now - granting.confirmedAt)
+  work.effects.push({ kind: 'log', event: 'grantConnectionsChanged', fields: { connections: granting.grantConnection, unconfirmedMs, silentHosts: listSilentHosts(state).slice(0, maxLoggedHosts).join(' ') } })
 }
 
-/** Chooses the connections for the renewals of the granting host. */
-export function chooseGrantConnection ({ granting, reducedAt }: GatewayState): GrantConnection {
-  return reducedAt < granting.connectUntil ? 'any' : 'kept'
+/** Chooses the connections for the grants of the granting host. */
+export function chooseGrantConnection (state: GatewayState): GrantConnection {
+  return state.reducedAt < computeConnectUntil(state) ? 'any' : 'kept'
 }
 
 /** Computes for how much longer hosts that renew grants for this one may open connections for them, in milliseconds. */
-export function computeConnectMs ({ granting, now }: GatewayState): number {
-  return Math.max(0, granting.connectUntil - now)
+export function computeConnectMs (state: GatewayState): number {
+  return Math.max(0, computeConnectUntil(state) - state.now)
+}
+
+/** Computes until when no other host can have become the granting host, by the lease or by the reports of the fleet. */
+function computeConnectUntil ({ granting }: GatewayState): number {
+  return Math.max(granting.confirmedAt + leadershipTtlMs * movingLeaseShare, granting.reportedUntil)
 }
 
 /**
@@ -39,7 +47,13 @@
  * granting host itself. This keeps owners reachable in an outage of the store that all hosts see.
  */
 function computeReportedUntil (state: GatewayState): number {
-  const { granting } = state
-  if (granting.hostReportedAt.size + 1 < granting.expectedHosts) return -Infinity
-  return Math.min(...granting.hostReportedAt.values(), state.now) + computeRenewerTimeoutMs(state)
+  const { granting, now } = state
+  const { hostReportedAt, expectedHosts, leaderSince } = granting
+  const isHostMissing = hostReportedAt.size + 1 < expectedHosts && now - leaderSince < forgottenHostMs
+  return isHostMissing ? -Infinity : Math.min(now, ...hostReportedAt.values()) + computeRenewerTimeoutMs(state)
+}
+
+function listSilentHosts (state: GatewayState): string[] {
+  const timeoutMs = computeRenewerTimeoutMs(state)
+  return [...state.granting.hostReportedAt].filter(([, reportedAt]) => state.now - reportedAt > timeoutMs).map(([host]) => host)
 }
--- a/src/core/gateway/granting.ts
+++ b/src/core/gateway/granting.ts
@@ -1,6 +1,6 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayWork } from './state.js'
-import { updateConnectUntil } from './grantConnections.js'
+import { updateGrantConnection } from './grantConnections.js'
 import { addFirstGrant, buildManagedGrant, isTargetReplaceable, mergeNeighbours, replaceTarget, startMove } from './grantChanges.js'
 import { advanceGrant } from './grantSteps.js'
 import { balanceMs, blockedRoundMs, maxSettleMs, mildRoundMs, maxRenewalsPerTick, settleMs, consolidationMs } from './limits.js'
@@ -31,7 +31,7 @@
 /** Advances all grants: plans moves, stores the placement, and sends the releases, grants and renewals that are due. */
 export function advanceGranting (work: GatewayWork, rules: GatewayRules): void {
   if (!isAllowedToRenew(work)) return
-  updateConnectUntil(work)
+  updateGrantConnection(work)
   loadGrants(work)
   updateAdmitShares(work)
   if (isAllowedToMoveKeys(work)) {
--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -74,8 +74,8 @@
   noticeAt: number
   /** When each host last reported, directly or through a collector, since this one became the leader. */
   hostReportedAt: Map<string, number>
-  /** Until when grants may be sent over new connections. */
-  connectUntil: number
+  /** Until when the reports of the fleet prove that no other host grants keys. */
+  reportedUntil: number
   /** Connections over which grants were sent in the last tick. */
   grantConnection: GrantConnection
   /** Whether this host has begun to record in the store that all predecessors have stopped. */
@@ -157,7 +157,7 @@
     hasPossiblePredecessors: false,
     noticeAt: now,
     hostReportedAt: new Map(),
-    connectUntil: -Infinity,
+    reportedUntil: -Infinity,
     grantConnection: 'any',
     isPredecessorStopRecorded: false,
     predecessorsActiveUntil: 0,
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -1,11 +1,11 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
-import type { Socket } from 'node:net'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent, SendFailure } from '../../core/gateway/events.js'
 import type { TimerService } from '../timerService.js'
 import type { BackendConnections } from './backendConnections.js'
 import type { GatewayExchange, SendAttempt } from './exchanges.js'
 import type { GatewayWire } from './ports.js'
+import { watchAnswerEnd } from '../answerEnd.js'
 import { isParseError, isTooLong, watchAnswer } from '../answerExcess.js'
 import { formatHeaders, isDelimited, listFramingHeaders, listPassedHeaders, readInto } from '../exchange.js'
 import { hasValidHeaders, isFinalStatus } from '../messageHead.js'
@@ -82,7 +82,6 @@
   const { timers, wire } = options
   let isEnded = false
   let isConnected = false
-  let hasFailed = false
   let response: IncomingMessage | undefined
   const post = (event: GatewayEvent) => {
     if (isEnded) return
@@ -153,7 +152,6 @@
     else onConnect()
   })
   request.on('error', (error: NodeJS.ErrnoException) => {
-    hasFailed = true
     // Errors caused by bytes after a complete answer do not affect that answer.
     if (response?.complete === true) return
     if (sendAttempt.answer !== undefined) {
@@ -175,7 +173,7 @@
       fail(failure)
       return
     }
-    readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool, hasFailed: () => hasFailed })
+    readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool })
   })
 }
 
@@ -209,8 +207,6 @@
   options: BackendSenderOptions
   request: ClientRequest
   pool: BackendConnections
-  /** Whether the connection has failed. */
-  hasFailed: () => boolean
 }
 
 function readAnswer (response: IncomingMessage, exchange: GatewayExchange, sendAttempt: SendAttempt, context: AnswerContext): void {
@@ -222,13 +218,7 @@
   const isNotRun = response.headers[context.options.wire.headers.notRun.toLowerCase()] !== undefined && notRunStatuses.has(status)
   const headers = listPassedHeaders(response.rawHeaders, true)
   const framing = isDelimited(response, exchange.method) ? 'delimited' : 'connection-close'
-  let wasReset = false
-  // Node.js ends an answer without a length when its connection is reset, and reports a reset that arrives together with
-  // data as a regular end. A connection that was reset has no remote address any more.
-  if (framing === 'connection-close') context.request.socket?.prependOnceListener('end', function (this: Socket) { wasReset = this.remoteAddress === undefined })
-  // While the request is still being written, the write may take the error of the connection.
-  const isClosedInOrder = () => !wasReset && !context.hasFailed() && context.request.writableFinished
-  const isWhole = () => response.complete && (framing === 'delimited' || isClosedInOrder())
+  const isWhole = watchAnswerEnd(context.request, response, framing)
   const buffered: Buffer[] = []
   let bytes = 0
   const onData = (part: Buffer) => {
--- a/src/runtime/gateway/exchanges.ts
+++ b/src/runtime/gateway/exchanges.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { HeaderPair } from '../../protocol/peerCodec.js'
+import type { AnswerFraming } from '../answerEnd.js'
 
 /** Answer of a backend server: complete, or its buffered start with the rest still arriving. */
 export type BackendAnswer = {
@@ -7,8 +8,7 @@
   headers: HeaderPair[]
   first: Buffer
   rest: IncomingMessage | undefined
-  /** How the body ends: by its stated length or chunked encoding, or when the connection closes, which does not prove that the body is complete. */
-  framing: 'delimited' | 'connection-close'
+  framing: AnswerFraming
   /** Whether the body, which has ended, is whole as far as its framing and its connection can show. */
   isWhole: () => boolean
 }
