--- a/measure/fleetSlopes.ts
+++ b/measure/fleetSlopes.ts
@@ -121,7 +121,7 @@
   const writeAll = (count: number) => {
     for (let index = 0; index < count; index++) {
       const revision = (view.revision ?? 0) + 1
-      applyChange(view, { key: `servers/i-${index}`, value: JSON.stringify({ ...buildHolder(index), service: 's', zone: 'z', slots: 4, state: 'ready', sequence: revision }), revision })
+      applyChange(view, { key: `servers/i-${index}`, value: JSON.stringify({ ...buildHolder(index), service: 's', zone: 'z', version: 'v1', slots: 4, state: 'ready', cold_left_s: 0, sequence: revision }), revision })
       view.revision = revision
     }
   }
--- a/spec/gateway/lateChanges.ts
+++ b/spec/gateway/lateChanges.ts
@@ -108,7 +108,7 @@
 }
 
 function writeBackend (store: RelayStore, index: number, leaving: boolean, sequence: number): void {
-  const value = { service: 'plain', address: `10.0.0.${index}:80`, zone: 'zone-1', slots: 4, state: leaving ? 'draining' : 'ready', born: 1000, sequence }
+  const value = { service: 'plain', address: `10.0.0.${index}:80`, zone: 'zone-1', version: 'v1', slots: 4, state: leaving ? 'draining' : 'ready', cold_left_s: 0, born: 1000, sequence }
   writeKey(store, `servers/i-${index}`, JSON.stringify(value))
 }
 
--- a/spec/gateway/relayHistories.ts
+++ b/spec/gateway/relayHistories.ts
@@ -149,7 +149,7 @@
 }
 
 function writeBackend (store: RelayStore, index: number, leaving: boolean): void {
-  const value = { service: 'plain', address: `10.0.0.${index}:80`, zone: 'z', slots: 4, state: leaving ? 'draining' : 'ready', born: 1000, sequence: store.revision }
+  const value = { service: 'plain', address: `10.0.0.${index}:80`, zone: 'z', version: 'v1', slots: 4, state: leaving ? 'draining' : 'ready', cold_left_s: 0, born: 1000, sequence: store.revision }
   writeKey(store, `servers/i-${index}`, JSON.stringify(value))
 }
 
