Interfaces of the parts for hard load: configuration, signals, evacuation, cold servers

Cause: the configuration's decoder dropped allowed regions and the limits of cold servers, and nothing carried what backend servers say about themselves.

Change: fields, events, header names, settings and peer messages for allowed regions, evacuated availability zones, cold backend servers, reported load, leaving marks and the memory budget. No behaviour changes; messages of hosts without the fields decode as before.

--- a/src/core/domain/outcome.ts
+++ b/src/core/domain/outcome.ts
@@ -26,7 +26,15 @@
   'peer-unreachable',
   'peer-lost',
   'caller-gone',
-  'retry-budget-spent'
+  'retry-budget-spent',
+  /** No backend server in the regions that may serve the request can be used. */
+  'region-unavailable',
+  /** The backend servers that could serve the request are cold and have had the requests that they tolerate. */
+  'backend-cold',
+  /** The backend server that has to serve the request asked this host for a pause. */
+  'backend-paused',
+  /** This host holds as much for callers and backend servers as its memory allows. */
+  'memory-short'
 ] as const
 
 /** Reason for which a request is refused or fails. */
@@ -92,5 +100,9 @@
   'peer-unreachable': 503,
   'peer-lost': 502,
   'caller-gone': 499,
-  'retry-budget-spent': 503
+  'retry-budget-spent': 503,
+  'region-unavailable': 503,
+  'backend-cold': 503,
+  'backend-paused': 503,
+  'memory-short': 503
 }
--- a/src/core/gateway/eventLane.ts
+++ b/src/core/gateway/eventLane.ts
@@ -12,6 +12,7 @@
     case 'answer-cut':
     case 'send-failed':
     case 'stray-bytes-read':
+    case 'signals-read':
       return 'callers'
     default:
       return 'control'
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -1,4 +1,4 @@
-import type { BackendRegistration, Configuration, GrantingHost, GrantingRecord, Placement, PlacementChange, PlacementVersion } from './model.js'
+import type { BackendRegistration, BackendSignals, Configuration, GrantingHost, GrantingRecord, Placement, PlacementChange, PlacementVersion, ReportedLoad } from './model.js'
 
 /** How sending a request to a backend server ended without an answer. */
 export type SendFailure =
@@ -24,10 +24,19 @@
 /** Outcome of a conditional write to the store. */
 export type WriteOutcome = 'written' | 'conflict' | 'lease-ended' | 'unknown' | 'rejected'
 
+/** Load that a backend server reported, with the time since then, in milliseconds. */
+export type AgedLoad = ReportedLoad & { ageMs: number }
+
+/** What a host learned from answers of one instance of a backend server, with the time since then, in milliseconds. */
+export type BackendMark = { id: string, startedAt: number, ageMs: number, isLeaving: boolean, coldMs: number }
+
+/** Requests that one host may send to a cold backend server in any second, and for how long after the report that was answered with them, in milliseconds. */
+export type ColdShare = { id: string, startedAt: number, requests: number, validMs: number }
+
 /** Load that one host has seen since its last report. */
 export type LoadReport = {
   host: string
-  backends: Array<{ id: string, inFlight: number, answered: number, serviceMsSum: number }>
+  backends: Array<{ id: string, inFlight: number, answered: number, serviceMsSum: number, reported?: AgedLoad | undefined }>
   keys: Array<{ service: string, keys: number[], counts: number[] }>
   /** Version of the placement that the host routes by. */
   placement: PlacementVersion
@@ -51,6 +60,10 @@
   isCollecting?: boolean | undefined
   /** Reports of hosts of its zone that arrived since its previous report; their load is part of this one. */
   members?: MemberReport[] | undefined
+  /** Next fencing token of the newest placement that the host knows or has known. */
+  nextFence?: number | undefined
+  /** Backend servers that said in answers to this host that they are leaving or cold. */
+  marks?: BackendMark[] | undefined
 }
 
 /** Report of a host that its collector passes on, without the load. `ageMs`: time since it arrived at the collector, in milliseconds. */
@@ -69,7 +82,7 @@
   /** Age in milliseconds of the oldest change that the store may have acknowledged and the sender has not relayed. */
   storeAgeMs: number
   /** `admitShare`: share of the requests for its keys that an overloaded owner can serve; 1 when it is not overloaded. */
-  backends: Array<{ id: string, inFlight: number, serviceMs: number, admitShare: number }>
+  backends: Array<{ id: string, inFlight: number, serviceMs: number, admitShare: number, reported?: AgedLoad | undefined }>
   /** The same figures by id, if they were received that way; the receiver's copy, updated with each answer. */
   byId?: ReadonlyMap<string, FleetLoad['backends'][number]> | undefined
   /** Owners whose grants the receiver is asked to renew. */
@@ -86,6 +99,12 @@
   collector?: GrantingHost | undefined
   /** Owners whose grants each host that reports to the receiver is asked to renew. */
   memberRenewals?: Array<{ host: string, owners: string[] }> | undefined
+  /** Backend servers that said in answers to other hosts that they are leaving or cold. */
+  marks?: BackendMark[] | undefined
+  /** Shares of the receiver in the requests that cold backend servers tolerate; it sends them none without a share. */
+  coldShares?: ColdShare[] | undefined
+  /** The same for each host that reports to the receiver. */
+  memberColdShares?: Array<{ host: string, shares: ColdShare[] }> | undefined
 }
 
 /** Head of a caller's request, decoded. */
@@ -115,6 +134,10 @@
   | { kind: 'send-failed', now: number, id: string, attempt: number, failure: SendFailure }
   /** Bytes arrived from a backend server that belong to no request. */
   | { kind: 'stray-bytes-read', now: number, backend: string }
+  /** A backend server said something about itself with an answer; posted before the event of that answer. */
+  | { kind: 'signals-read', now: number, backend: string, signals: BackendSignals }
+  /** Whether operators ask that nothing more is sent to the backend servers of an availability zone. */
+  | { kind: 'evacuation-read', now: number, zone: string, isRequested: boolean }
   | { kind: 'configuration-read', now: number, configuration: Configuration, revision: number }
   | { kind: 'backend-read', now: number, backend: BackendRegistration }
   /** `graceMs`: time within which the registration may still be renewed, as judged by the host that relayed its end; undefined when this host read it from the store itself. */
--- a/src/core/gateway/model.ts
+++ b/src/core/gateway/model.ts
@@ -18,6 +18,8 @@
   maxAttempts: number
   /** Priority of the requests; 0 is the highest. */
   priority: number
+  /** Regions whose backend servers may serve the requests; all regions if empty or undefined. */
+  allowedRegions?: readonly string[] | undefined
 }
 
 /** Configuration of a service. */
@@ -29,6 +31,10 @@
   warmupMs: number
   /** Maximum number of connections that each of its backend servers accepts from all hosts together, if there is one. */
   maxConnections?: number | undefined
+  /** Time for which a backend server is cold after it starts under load, in milliseconds. */
+  coldStartMs?: number | undefined
+  /** Requests a second that a cold backend server tolerates from all hosts together; undefined if there is no limit. */
+  coldRequestsPerSecond?: number | undefined
 }
 
 /** Limits on the size and duration of callers' requests. */
@@ -59,6 +65,28 @@
   report?: number | undefined
 }
 
+/** Load that a backend server reports with an answer. */
+export type ReportedLoad = {
+  /** Requests that it runs. */
+  running: number
+  /** Requests in its queue. */
+  waiting: number
+  slots: number
+  /** Factor by which work takes longer than usual on its machine at this moment; 1 if it is as usual. */
+  slowdown: number
+}
+
+/** What a backend server says about itself with an answer; undefined members were not stated. */
+export type BackendSignals = {
+  /** Whether it is leaving. */
+  isLeaving: boolean
+  /** Time for which it asks this host for no further requests, in milliseconds; only with an answer that declares that the request did not run. */
+  pauseMs: number | undefined
+  /** Remaining time for which it is cold, in milliseconds. */
+  coldMs: number | undefined
+  load: ReportedLoad | undefined
+}
+
 /** One instance of a backend server, as an owner of keys. */
 export type KeyOwner = { id: string, startedAt: number, address: string }
 
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -58,6 +58,9 @@
     case 'answer-cut': return handleTruncatedAnswer(work, event, rules)
     case 'stray-bytes-read': return handleStrayBytes(work, event.backend)
     case 'send-failed': return handleSendFailure(work, event, rules)
+    // Signals of backend servers and evacuations have no effect yet.
+    case 'signals-read':
+    case 'evacuation-read': return
     case 'configuration-read': return applyConfiguration(work, event)
     case 'backend-read': return applyRegistration(work, event.backend)
     case 'backend-gone': return applyDeregistration(work, event.id, event.graceMs)
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -15,8 +15,19 @@
 import { buildRenewalState } from './renewalState.js'
 import { buildStop } from './stop.js'
 
-/** Identity and settings of this host. `processorShare`: processor time available to it, in cores; `drainMs`: time for which a leaving backend server continues to serve, in milliseconds. */
-export type GatewayIdentity = { host: string, zone: string, region: string, regionOf: Map<string, string>, address: string, processorShare: number, drainMs?: number }
+/** Identity and settings of this host. `processorShare`: processor time available to it, in cores; `drainMs`: time for which a leaving backend server continues to serve, in milliseconds; `evacuationMs`: time within which an availability zone is evacuated, in milliseconds; `coldRequestsFactor`, `coldRequestsExtra`: in any second a cold backend server may get the requests a second that it tolerates times the factor, and the extra requests. */
+export type GatewayIdentity = {
+  host: string
+  zone: string
+  region: string
+  regionOf: Map<string, string>
+  address: string
+  processorShare: number
+  drainMs?: number
+  evacuationMs?: number
+  coldRequestsFactor?: number
+  coldRequestsExtra?: number
+}
 
 /** State of a caller's request, from its arrival to its answer. */
 export type GatewayRequest = {
--- a/src/protocol/fleetUpdate.ts
+++ b/src/protocol/fleetUpdate.ts
@@ -1,13 +1,13 @@
-import type { FleetLoad, LoadReport, MemberReport } from '../core/gateway/events.js'
+import type { AgedLoad, BackendMark, ColdShare, FleetLoad, LoadReport, MemberReport } from '../core/gateway/events.js'
 import type { KeyOwner, KeyRange, PlacementChange, PlacementVersion } from '../core/gateway/model.js'
 import type { RelayedChanges } from '../core/gateway/storeView.js'
-import type { ChangedRange, FleetLoadView, KeyHolder, PlacementChange as WireChange, StoreChanges, KnownGrantingHost as WireGrantingHost, LoadReport as WireReport, MemberReport as WireMember } from './gen/peer.js'
+import type { BackendMark as WireMark, ChangedRange, ColdShare as WireColdShare, FleetLoadView, KeyHolder, PlacementChange as WireChange, StoreChanges, KnownGrantingHost as WireGrantingHost, LoadReport as WireReport, MemberReport as WireMember, ReportedLoad as WireLoad } from './gen/peer.js'
 
 /** Encodes a host's load report. */
 export function encodeLoadReport (report: LoadReport): WireReport {
   return {
     host: report.host,
-    backends: report.backends.map(entry => ({ backend: entry.id, inFlight: entry.inFlight, answered: entry.answered, serviceMsSum: entry.serviceMsSum })),
+    backends: report.backends.map(entry => ({ backend: entry.id, inFlight: entry.inFlight, answered: entry.answered, serviceMsSum: entry.serviceMsSum, reported: encodeReportedLoad(entry.reported) })),
     keys: report.keys,
     placement: report.placement,
     wantsPlacement: report.wantsPlacement,
@@ -19,10 +19,40 @@
     processorMillicores: encodeProcessorShare(report.processorShare),
     hosts: report.hosts ?? 0,
     isCollecting: report.isCollecting ?? false,
-    members: (report.members ?? []).map(encodeMember)
+    members: (report.members ?? []).map(encodeMember),
+    nextFence: report.nextFence ?? 0,
+    marks: (report.marks ?? []).map(encodeMark)
   }
 }
 
+function encodeMark ({ id, startedAt, ageMs, isLeaving, coldMs }: BackendMark): WireMark {
+  return { backend: id, startedAt, ageMs: Math.round(ageMs), isLeaving, coldMs: Math.ceil(coldMs) }
+}
+
+function decodeMark ({ backend, startedAt, ageMs, isLeaving, coldMs }: WireMark): BackendMark {
+  return { id: backend, startedAt, ageMs, isLeaving, coldMs }
+}
+
+function encodeReportedLoad (load: AgedLoad | undefined): WireLoad | undefined {
+  if (load === undefined) return undefined
+  const { running, waiting, slots, slowdown, ageMs } = load
+  return { running, waiting, slots, slowdownPercent: Math.round(slowdown * 100), ageMs: Math.round(ageMs) }
+}
+
+function decodeReportedLoad (load: WireLoad | undefined): AgedLoad | undefined {
+  if (load === undefined) return undefined
+  const { running, waiting, slots, slowdownPercent, ageMs } = load
+  return { running, waiting, slots, slowdown: slowdownPercent / 100, ageMs }
+}
+
+function encodeColdShare ({ id, startedAt, requests, validMs }: ColdShare): WireColdShare {
+  return { backend: id, startedAt, requests, validMs: Math.floor(validMs) }
+}
+
+function decodeColdShare ({ backend, startedAt, requests, validMs }: WireColdShare): ColdShare {
+  return { id: backend, startedAt, requests, validMs }
+}
+
 function encodeMember (member: MemberReport): WireMember {
   const { host, zone, placement, granting, renewed, address = '', processorShare, ageMs } = member
   return { host, zone, placement, granting: encodeGranting(granting), renewed, address, processorMillicores: encodeProcessorShare(processorShare), ageMs }
@@ -44,7 +74,7 @@
 export function decodeLoadReport (message: WireReport): LoadReport {
   return {
     host: message.host,
-    backends: message.backends.map(entry => ({ id: entry.backend, inFlight: entry.inFlight, answered: entry.answered, serviceMsSum: entry.serviceMsSum })),
+    backends: message.backends.map(entry => ({ id: entry.backend, inFlight: entry.inFlight, answered: entry.answered, serviceMsSum: entry.serviceMsSum, ...(entry.reported === undefined ? {} : { reported: decodeReportedLoad(entry.reported) }) })),
     keys: message.keys,
     placement: decodeVersion(message.placement),
     wantsPlacement: message.wantsPlacement,
@@ -56,7 +86,9 @@
     processorShare: message.processorMillicores / 1000,
     hosts: Math.max(1, message.hosts),
     isCollecting: message.isCollecting,
-    members: message.members.map(decodeMember)
+    members: message.members.map(decodeMember),
+    ...(message.nextFence === 0 ? {} : { nextFence: message.nextFence }),
+    ...(message.marks.length === 0 ? {} : { marks: message.marks.map(decodeMark) })
   }
 }
 
@@ -107,11 +139,15 @@
     reporters: load.reporters ?? 0,
     collector: load.collector,
     memberRenewals: load.memberRenewals ?? [],
+    marks: (load.marks ?? []).map(encodeMark),
+    coldShares: (load.coldShares ?? []).map(encodeColdShare),
+    memberColdShares: (load.memberColdShares ?? []).map(({ host, shares }) => ({ host, shares: shares.map(encodeColdShare) })),
     backends: changed.map(entry => ({
       backend: entry.id,
       inFlight: entry.inFlight,
       serviceMs: entry.serviceMs,
-      admitPermille: entry.admitShare < 1 ? Math.max(1, Math.round(entry.admitShare * 1000)) : 0
+      admitPermille: entry.admitShare < 1 ? Math.max(1, Math.round(entry.admitShare * 1000)) : 0,
+      reported: encodeReportedLoad(entry.reported)
     }))
   }
 }
@@ -128,7 +164,7 @@
   for (const entry of view.backends) {
     const admitShare = entry.admitPermille === 0 ? 1 : entry.admitPermille / 1000
     if (entry.inFlight === 0 && entry.serviceMs === 0) receivedEntries.delete(entry.backend)
-    else receivedEntries.set(entry.backend, { id: entry.backend, inFlight: entry.inFlight, serviceMs: entry.serviceMs, admitShare })
+    else receivedEntries.set(entry.backend, { id: entry.backend, inFlight: entry.inFlight, serviceMs: entry.serviceMs, admitShare, ...(entry.reported === undefined ? {} : { reported: decodeReportedLoad(entry.reported) }) })
   }
   return {
     hosts: view.hosts,
@@ -143,7 +179,10 @@
     loadAgeMs: view.loadAgeMs,
     reporters: view.reporters === 0 ? view.hosts : view.reporters,
     collector: view.collector,
-    memberRenewals: view.memberRenewals
+    memberRenewals: view.memberRenewals,
+    ...(view.marks.length === 0 ? {} : { marks: view.marks.map(decodeMark) }),
+    ...(view.coldShares.length === 0 ? {} : { coldShares: view.coldShares.map(decodeColdShare) }),
+    ...(view.memberColdShares.length === 0 ? {} : { memberColdShares: view.memberColdShares.map(({ host, shares }) => ({ host, shares: shares.map(decodeColdShare) })) })
   }
 }
 
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -370,6 +370,41 @@
   isCollecting: boolean;
   /** Reports of these hosts, without load, that arrived since the previous report. */
   members: MemberReport[];
+  /** Next fencing token of the newest placement that the sender knows or has known; 0 if it has known none. */
+  nextFence: number;
+  /** Backend servers that said in answers to the sender that they are leaving or cold. */
+  marks: BackendMark[];
+}
+
+/** What a host learned from answers of one instance of a backend server. age_ms: time since then; cold_ms: time for which it was still cold then, in milliseconds. */
+export interface BackendMark {
+  backend: string;
+  startedAt: number;
+  ageMs: number;
+  isLeaving: boolean;
+  coldMs: number;
+}
+
+/** Load that a backend server reported. slowdown_percent: time that work takes, 100 is as usual; age_ms: time since the report, in milliseconds. */
+export interface ReportedLoad {
+  running: number;
+  waiting: number;
+  slots: number;
+  slowdownPercent: number;
+  ageMs: number;
+}
+
+/** Requests that a host may send to a cold backend server in any second, for valid_ms milliseconds from the report that was answered with them. */
+export interface ColdShare {
+  backend: string;
+  startedAt: number;
+  requests: number;
+  validMs: number;
+}
+
+export interface MemberColdShares {
+  host: string;
+  shares: ColdShare[];
 }
 
 /** Report of a host that its collector passes on; age_ms is the time since it arrived there, in milliseconds. */
@@ -405,6 +440,8 @@
   inFlight: number;
   answered: number;
   serviceMsSum: number;
+  /** Latest load that the backend server reported to the sender. */
+  reported?: ReportedLoad | undefined;
 }
 
 /** Number of requests for each key of a service since the last report: counts[i] belongs to keys[i]. */
@@ -438,7 +475,15 @@
   /** Owners whose grants the hosts that report to the receiver are asked to renew. */
   memberRenewals: MemberRenewals[];
   /** Time since that report for which the receiver may open connections to renew these grants, in milliseconds. */
-  connectMs?: number | undefined;
+  connectMs?:
+    | number
+    | undefined;
+  /** Backend servers that said in answers to other hosts that they are leaving or cold. */
+  marks: BackendMark[];
+  /** Shares of the receiver in the requests that cold backend servers tolerate. */
+  coldShares: ColdShare[];
+  /** The same for the hosts that report to the receiver. */
+  memberColdShares: MemberColdShares[];
 }
 
 export interface Collector {
@@ -458,6 +503,8 @@
   serviceMs: number;
   /** Share of the requests for its keys that an overloaded server can serve, in thousandths; 0 when it is not overloaded. */
   admitPermille: number;
+  /** Latest load that the backend server reported to any other host. */
+  reported?: ReportedLoad | undefined;
 }
 
 function createBaseFrame(): Frame {
@@ -3784,6 +3831,8 @@
     hosts: 0,
     isCollecting: false,
     members: [],
+    nextFence: 0,
+    marks: [],
   };
 }
 
@@ -3831,6 +3880,12 @@
     for (const v of message.members) {
       MemberReport.encode(v!, writer.uint32(114).fork()).join();
     }
+    if (message.nextFence !== 0) {
+      writer.uint32(120).uint64(message.nextFence);
+    }
+    for (const v of message.marks) {
+      BackendMark.encode(v!, writer.uint32(130).fork()).join();
+    }
     return writer;
   },
 
@@ -3959,6 +4014,338 @@
             message.members.push(MemberReport.decode(reader, reader.uint32()));
             continue;
           }
+          case 15: {
+            if (tag !== 120) {
+              break;
+            }
+
+            message.nextFence = longToNumber(reader.uint64());
+            continue;
+          }
+          case 16: {
+            if (tag !== 130) {
+              break;
+            }
+
+            message.marks.push(BackendMark.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseBackendMark(): BackendMark {
+  return { backend: "", startedAt: 0, ageMs: 0, isLeaving: false, coldMs: 0 };
+}
+
+export const BackendMark: MessageFns<BackendMark> = {
+  encode(message: BackendMark, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.backend !== "") {
+      writer.uint32(10).string(message.backend);
+    }
+    if (message.startedAt !== 0) {
+      writer.uint32(16).uint64(message.startedAt);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(24).uint32(message.ageMs);
+    }
+    if (message.isLeaving !== false) {
+      writer.uint32(32).bool(message.isLeaving);
+    }
+    if (message.coldMs !== 0) {
+      writer.uint32(40).uint32(message.coldMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): BackendMark {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseBackendMark();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.backend = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.startedAt = longToNumber(reader.uint64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.isLeaving = reader.bool();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.coldMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseReportedLoad(): ReportedLoad {
+  return { running: 0, waiting: 0, slots: 0, slowdownPercent: 0, ageMs: 0 };
+}
+
+export const ReportedLoad: MessageFns<ReportedLoad> = {
+  encode(message: ReportedLoad, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.running !== 0) {
+      writer.uint32(8).uint32(message.running);
+    }
+    if (message.waiting !== 0) {
+      writer.uint32(16).uint32(message.waiting);
+    }
+    if (message.slots !== 0) {
+      writer.uint32(24).uint32(message.slots);
+    }
+    if (message.slowdownPercent !== 0) {
+      writer.uint32(32).uint32(message.slowdownPercent);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(40).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ReportedLoad {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseReportedLoad();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.running = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.waiting = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.slots = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.slowdownPercent = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseColdShare(): ColdShare {
+  return { backend: "", startedAt: 0, requests: 0, validMs: 0 };
+}
+
+export const ColdShare: MessageFns<ColdShare> = {
+  encode(message: ColdShare, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.backend !== "") {
+      writer.uint32(10).string(message.backend);
+    }
+    if (message.startedAt !== 0) {
+      writer.uint32(16).uint64(message.startedAt);
+    }
+    if (message.requests !== 0) {
+      writer.uint32(24).uint32(message.requests);
+    }
+    if (message.validMs !== 0) {
+      writer.uint32(32).uint32(message.validMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ColdShare {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseColdShare();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.backend = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.startedAt = longToNumber(reader.uint64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.requests = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.validMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseMemberColdShares(): MemberColdShares {
+  return { host: "", shares: [] };
+}
+
+export const MemberColdShares: MessageFns<MemberColdShares> = {
+  encode(message: MemberColdShares, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.host !== "") {
+      writer.uint32(10).string(message.host);
+    }
+    for (const v of message.shares) {
+      ColdShare.encode(v!, writer.uint32(18).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): MemberColdShares {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseMemberColdShares();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.host = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.shares.push(ColdShare.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4252,7 +4639,7 @@
 };
 
 function createBaseBackendLoad(): BackendLoad {
-  return { backend: "", inFlight: 0, answered: 0, serviceMsSum: 0 };
+  return { backend: "", inFlight: 0, answered: 0, serviceMsSum: 0, reported: undefined };
 }
 
 export const BackendLoad: MessageFns<BackendLoad> = {
@@ -4269,6 +4656,9 @@
     if (message.serviceMsSum !== 0) {
       writer.uint32(32).uint32(message.serviceMsSum);
     }
+    if (message.reported !== undefined) {
+      ReportedLoad.encode(message.reported, writer.uint32(42).fork()).join();
+    }
     return writer;
   },
 
@@ -4317,6 +4707,14 @@
             message.serviceMsSum = reader.uint32();
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.reported = ReportedLoad.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4440,6 +4838,9 @@
     collector: undefined,
     memberRenewals: [],
     connectMs: undefined,
+    marks: [],
+    coldShares: [],
+    memberColdShares: [],
   };
 }
 
@@ -4481,6 +4882,15 @@
     if (message.connectMs !== undefined) {
       writer.uint32(104).uint32(message.connectMs);
     }
+    for (const v of message.marks) {
+      BackendMark.encode(v!, writer.uint32(114).fork()).join();
+    }
+    for (const v of message.coldShares) {
+      ColdShare.encode(v!, writer.uint32(122).fork()).join();
+    }
+    for (const v of message.memberColdShares) {
+      MemberColdShares.encode(v!, writer.uint32(130).fork()).join();
+    }
     return writer;
   },
 
@@ -4593,6 +5003,30 @@
             message.connectMs = reader.uint32();
             continue;
           }
+          case 14: {
+            if (tag !== 114) {
+              break;
+            }
+
+            message.marks.push(BackendMark.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 15: {
+            if (tag !== 122) {
+              break;
+            }
+
+            message.coldShares.push(ColdShare.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 16: {
+            if (tag !== 130) {
+              break;
+            }
+
+            message.memberColdShares.push(MemberColdShares.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4721,7 +5155,7 @@
 };
 
 function createBaseBackendView(): BackendView {
-  return { backend: "", inFlight: 0, serviceMs: 0, admitPermille: 0 };
+  return { backend: "", inFlight: 0, serviceMs: 0, admitPermille: 0, reported: undefined };
 }
 
 export const BackendView: MessageFns<BackendView> = {
@@ -4738,6 +5172,9 @@
     if (message.admitPermille !== 0) {
       writer.uint32(32).uint32(message.admitPermille);
     }
+    if (message.reported !== undefined) {
+      ReportedLoad.encode(message.reported, writer.uint32(42).fork()).join();
+    }
     return writer;
   },
 
@@ -4786,6 +5223,14 @@
             message.admitPermille = reader.uint32();
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.reported = ReportedLoad.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -72,7 +72,10 @@
     regionOf: new Map(Object.entries(settings.regions)),
     address: gateway['peer-listen'],
     processorShare: gateway['processor-share'],
-    drainMs: gateway['drain-s'] * 1000
+    drainMs: gateway['drain-s'] * 1000,
+    evacuationMs: gateway['evacuation-s'] * 1000,
+    coldRequestsFactor: gateway['cold-requests-factor'],
+    coldRequestsExtra: gateway['cold-requests-extra']
   }
   const state = buildGatewayState(identity, randomBytes(4).readInt32LE(), clock.now())
   const post = (event: GatewayEvent): boolean => program.post(event)
--- a/src/runtime/gateway/ports.ts
+++ b/src/runtime/gateway/ports.ts
@@ -42,7 +42,7 @@
 export type Decoded<T> = { kind: 'valid', value: T } | { kind: 'invalid', problem: string }
 
 /** Kind of value that a key of the store holds. */
-export type KeyRole = { kind: 'configuration' } | { kind: 'registration', id: string } | { kind: 'other' }
+export type KeyRole = { kind: 'configuration' } | { kind: 'registration', id: string } | { kind: 'evacuation', zone: string } | { kind: 'other' }
 
 /** Encoded call that grants or releases keys. */
 export type EncodedCall = { method: string, path: string, body: string }
@@ -73,5 +73,11 @@
     notRun: string
     /** Handover token, passed from the previous owner of keys to the next one. */
     handover: string
+    /** Load that a backend server reports with its answers. */
+    load: string
+    /** Present on the answers of a backend server that is leaving. */
+    leaving: string
+    /** Remaining time for which a backend server is cold, in milliseconds. */
+    coldMs: string
   }
 }
--- a/src/runtime/gateway/storeFollower.ts
+++ b/src/runtime/gateway/storeFollower.ts
@@ -227,6 +227,7 @@
     if (decoded.kind === 'invalid') return reject(decoded.problem)
     parts.post({ kind: 'configuration-read', now, configuration: decoded.value, revision })
   }
+  if (role.kind === 'evacuation') parts.post({ kind: 'evacuation-read', now, zone: role.zone, isRequested: value !== undefined })
   if (role.kind !== 'registration') return
   if (value === undefined) {
     parts.post({ kind: 'backend-gone', now, id: role.id, graceMs })
--- a/tests/support/platform/platformFleet.ts
+++ b/tests/support/platform/platformFleet.ts
@@ -81,7 +81,12 @@
         'admin-listen': '127.0.0.1:0',
         'processor-share': 1,
         'grace-ms': 4000,
-        'drain-s': 2
+        'drain-s': 2,
+        'evacuation-s': 5,
+        'cold-requests-factor': 1,
+        'cold-requests-extra': 0,
+        'memory-mb': 350,
+        'max-descriptors': 4096
       },
       store: { address: store.address },
       regions: { 'zone-1': 'region-1' },
