--- a/src/core/gateway/backendChoice.ts
+++ b/src/core/gateway/backendChoice.ts
@@ -1,7 +1,9 @@
 import type { Admission } from './admission.js'
+import type { Ineligibility } from './backendEligibility.js'
 import type { Backend, GatewayRequest, GatewayState } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { estimateInFlight } from './admission.js'
+import { checkEligibility } from './backendEligibility.js'
 
 /** Cost of a backend server in another availability zone, as milliseconds of waiting: traffic between zones is billed by volume. */
 const crossZoneMs = 50
@@ -28,16 +30,22 @@
 /** Decides whether a request may be sent to a backend server. */
 export type AdmitRequest = (state: GatewayState, request: GatewayRequest, backend: Backend) => Admission
 
-/** The backend server for a request, or why there is none. */
-export type BackendChoice = { kind: 'chosen', backend: Backend } | { kind: 'full', refusing: Backend[], waitMs: number } | { kind: 'none' }
+/** The backend server for a request, or why there is none. `excluded`: why the request must not be sent to those that could be reached. */
+export type BackendChoice = { kind: 'chosen', backend: Backend } | { kind: 'full', refusing: Backend[], waitMs: number } | { kind: 'none', excluded?: Ineligibility | undefined }
 
 /** Chooses among backend servers that can all serve the request: the one with the lowest cost in expected time and distance. Avoided servers are used only when there are no others. */
 export function chooseBackend (state: GatewayState, request: GatewayRequest, admit: AdmitRequest): BackendChoice {
   const usable: Backend[] = []
   const avoided: Backend[] = []
+  let excluded: Ineligibility | undefined
   for (const id of state.backendsByService.get(request.service) ?? []) {
     const backend = state.backends.get(id)
     if (backend === undefined || !isUsable(backend) || request.tried.includes(id)) continue
+    const eligibility = checkEligibility(state, request, backend)
+    if (eligibility.kind === 'ineligible') {
+      if (excluded === undefined || eligibility.waitMs < excluded.waitMs) excluded = eligibility
+      continue
+    }
     const list = backend.avoidUntil > state.now ? avoided : usable
     list.push(backend)
   }
@@ -46,7 +54,9 @@
     if (choice.kind === 'chosen') return choice
   }
   const choice = chooseLowestCost(state, request, usable, admit)
-  return choice.kind === 'none' ? chooseLowestCost(state, request, avoided, admit) : choice
+  if (choice.kind !== 'none') return choice
+  const lastResort = chooseLowestCost(state, request, avoided, admit)
+  return lastResort.kind === 'none' ? { kind: 'none', excluded } : lastResort
 }
 
 function chooseLowestCost (state: GatewayState, request: GatewayRequest, backends: readonly Backend[], admit: AdmitRequest): BackendChoice {
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -4,6 +4,7 @@
 import type { Backend, GatewayRequest, GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { estimateInFlight, estimateWaitMs, recordShortage } from './admission.js'
+import { checkEligibility } from './backendEligibility.js'
 import { scheduleEarlyReport } from './loadExchange.js'
 import { computeLastSendAt } from './backends.js'
 import { ownerWaitMs } from './limits.js'
@@ -27,6 +28,9 @@
 /** Interval between removals of fencing tokens that are no longer in use, in milliseconds. */
 const dropStaleFencesMs = 1000
 
+/** Time after which a caller may retry when no backend server can be reached, in milliseconds. */
+const unreachableWaitMs = 300
+
 type ChangedKeys = ReadonlyArray<{ service: string, range: Pick<KeyRange, 'from' | 'to'> }>
 
 type Arrived = Extract<GatewayEvent, { kind: 'request-arrived' }>
@@ -85,7 +89,7 @@
   const choice = rules.choose(state, request, rules.admit)
   if (choice.kind === 'chosen') return sendRequest(work, request, choice.backend)
   if (choice.kind === 'full') return refuseFull(work, request, choice.refusing, choice.waitMs)
-  refuseRequest(work, request, 'backend-unreachable', 300)
+  refuseRequest(work, request, choice.excluded?.reason ?? 'backend-unreachable', choice.excluded?.waitMs ?? unreachableWaitMs)
 }
 
 function placeByKey (work: GatewayWork, request: GatewayRequest, key: number, rules: GatewayRules): void {
@@ -96,6 +100,8 @@
   if (owner === undefined) return holdRequest(work, request, range.fence)
   if (owner.avoidUntil - state.now > ownerWaitMs) return refuseRequest(work, request, 'backend-unreachable', owner.avoidUntil - state.now)
   state.unownedSince.delete(range.fence)
+  const eligibility = checkEligibility(state, request, owner)
+  if (eligibility.kind === 'ineligible') return refuseRequest(work, request, eligibility.reason, eligibility.waitMs)
   if (uniformFloat64(state.random) > owner.admitShare) return refuseFull(work, request, [owner], estimateWaitMs(state, owner))
   const admission = rules.admit(state, request, owner)
   if (admission.kind === 'admit') return sendRequest(work, request, owner)
