Allowed regions of routes hold for every attempt, owner and waiting request

Cause: a route may list the regions in which its requests may be served; the lists were decoded, but requests went to any region.

After a change of the configuration, the route under which a request arrived and the present one of the same name both bind; a request that still waits for a connection to a region that is no longer allowed is not sent (bound-opening with an id). Without a usable server it is refused at once with region-unavailable and a Retry-After of 1 to 1.5 s, which does not depend on the request's target, since a retry before that would be refused again. The check of a key's owner comes before the check whether that owner is avoided.

--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -56,8 +56,8 @@
   | { kind: 'deliver', id: string, attempt: number }
   | { kind: 'refuse', id: string, reason: RefusalReason, status: number, retryAfterMs: number | undefined }
   | { kind: 'close-backend', backend: string }
-  /** Requests that have no open connection to the backend server after `withinMs` milliseconds are not sent to it. */
-  | { kind: 'bound-opening', backend: string, withinMs: number }
+  /** Requests that have no open connection to the backend server after `withinMs` milliseconds are not sent to it; with an `id`, only that request. */
+  | { kind: 'bound-opening', backend: string, withinMs: number, id?: string | undefined }
   /** `lastRevision`: revision of the record of the last granting host, 0 when there is none; the claim fails if the record has changed. */
   | { kind: 'claim-leadership', ttlMs: number, record: GrantingRecord, lastRevision: number }
   /** Records in the store that all earlier granting hosts have stopped granting. */
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -3,6 +3,7 @@
 import type { GatewayEvent, LoadReport } from './events.js'
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
+import { applyRegionChange } from './allowedRegions.js'
 import { applyDeregistration, applyRegistration, removeExpiredBackends } from './backends.js'
 import { advanceChangeLags, recordChangeLag } from './changeLags.js'
 import { applyCollectedReport } from './collecting.js'
@@ -139,6 +140,7 @@
   state.configuration = configuration
   state.configurationRevision = revision
   state.routesByHost = buildRouteIndex(configuration)
+  applyRegionChange(work, configuration)
   work.effects.push({ kind: 'set-caller-limits', limits: configuration.limits })
   work.effects.push({ kind: 'log', event: 'configurationInForce', fields: { version: configuration.version, revision, routes: configuration.routes.length, lagMs } })
 }
--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -9,6 +9,10 @@
 const maxLoggedCharacters = 200
 /** Share of the time to the target within which a refused caller should retry. */
 const retryTargetShare = 0.4
+/** Reasons whose cause lasts for a known time whatever the target of the request: a retry before that would be refused again. */
+const lastingReasons: ReadonlySet<RefusalReason> = new Set(['region-unavailable'])
+/** Part of that time by which retries after it are spread. */
+const lastingSpread = 0.5
 
 type Arrived = Extract<GatewayEvent, { kind: 'request-arrived' }>
 
@@ -29,7 +33,7 @@
   const { state } = work
   state.requests.delete(request.id)
   state.waiting.delete(request.id)
-  const retryAfterMs = computeRetryAfterMs(work, request, waitMs)
+  const retryAfterMs = lastingReasons.has(reason) ? computeLastingRetryMs(work, waitMs) : computeRetryAfterMs(work, request, waitMs)
   work.effects.push({ kind: 'refuse', id: request.id, reason, status: 503, retryAfterMs })
   work.effects.push({ kind: 'count-refusal', reason, outcome: 'not-run' })
   work.effects.push({
@@ -60,6 +64,11 @@
   return Math.round(minRetryMs + uniformFloat64(state.random) * (latestMs - minRetryMs))
 }
 
+/** Computes a random retry time after a cause that lasts for a known time, in milliseconds. */
+function computeLastingRetryMs (work: GatewayWork, waitMs: number): number {
+  return Math.round(Math.max(minRetryMs, waitMs) * (1 + uniformFloat64(work.state.random) * lastingSpread))
+}
+
 /** Fails a request that may have run. */
 export function failRequest (work: GatewayWork, request: GatewayRequest, reason: RefusalReason, status: number): void {
   const { state } = work
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -98,10 +98,10 @@
   const owner = range?.phase === 'held' ? findOwner(work, range.owner.id, range.owner.startedAt) : undefined
   if (range === undefined) return refuseRequest(work, request, 'no-owner', ownerWaitMs)
   if (owner === undefined) return holdRequest(work, request, range.fence)
-  if (owner.avoidUntil - state.now > ownerWaitMs) return refuseRequest(work, request, 'backend-unreachable', owner.avoidUntil - state.now)
-  state.unownedSince.delete(range.fence)
   const eligibility = checkEligibility(state, request, owner)
   if (eligibility.kind === 'ineligible') return refuseRequest(work, request, eligibility.reason, eligibility.waitMs)
+  if (owner.avoidUntil - state.now > ownerWaitMs) return refuseRequest(work, request, 'backend-unreachable', owner.avoidUntil - state.now)
+  state.unownedSince.delete(range.fence)
   if (uniformFloat64(state.random) > owner.admitShare) return refuseFull(work, request, [owner], estimateWaitMs(state, owner))
   const admission = rules.admit(state, request, owner)
   if (admission.kind === 'admit') return sendRequest(work, request, owner)
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -34,6 +34,8 @@
   id: string
   requestId: string
   route: GatewayRoute
+  /** Present route of the same name, if the configuration has changed since the request arrived and that route lists allowed regions. */
+  laterRoute?: GatewayRoute | undefined
   service: string
   key: number | undefined
   arrivedAt: number
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -26,8 +26,9 @@
 
 type SendEffect = Extract<GatewayEffect, { kind: 'send' }>
 
-/** Requests waiting for a connection, by backend server. Each function shortens the connect timeout of one request. */
-type PendingConnects = Map<string, Set<(withinMs: number) => void>>
+/** Requests waiting for a connection, by backend server. `bound` shortens the connect timeout of the request. */
+type PendingConnects = Map<string, Set<PendingConnect>>
+type PendingConnect = { id: string, bound: (withinMs: number) => void }
 
 /** Options of the sender. */
 export type BackendSenderOptions = { wire: GatewayWire, timers: TimerService, post: (event: GatewayEvent) => boolean }
@@ -36,8 +37,8 @@
 export type BackendSender = {
   send: (exchange: GatewayExchange, effect: SendEffect) => void
   closeBackend: (backend: string) => void
-  /** Fails the requests to a backend server that still have no connection after `withinMs` milliseconds. */
-  boundPendingConnects: (backend: string, withinMs: number) => void
+  /** Fails the requests to a backend server that still have no connection after `withinMs` milliseconds; with an `id`, only that request. */
+  boundPendingConnects: (backend: string, withinMs: number, id?: string) => void
   close: () => void
 }
 
@@ -66,8 +67,8 @@
         pool.setSingleUseUntil(options.timers.clock.now() + singleUsePeriodMs)
       }
     },
-    boundPendingConnects: (backend, withinMs) => {
-      for (const bound of pendingConnects.get(backend) ?? []) bound(withinMs)
+    boundPendingConnects: (backend, withinMs, id) => {
+      for (const pending of pendingConnects.get(backend) ?? []) if (id === undefined || pending.id === id) pending.bound(withinMs)
     },
     close: () => {
       for (const pool of pools.values()) {
@@ -132,9 +133,12 @@
   })
   const stopConnectTimeout = failAfter(Math.min(connectTimeoutMs, effect.timeoutMs), 'connect-failed')
   let stopBoundTimer = () => {}
-  const removePendingConnect = addPendingConnect(pendingConnects, effect.backend, withinMs => {
-    stopBoundTimer()
-    stopBoundTimer = failAfter(withinMs, 'left-unsent')
+  const removePendingConnect = addPendingConnect(pendingConnects, effect.backend, {
+    id: exchange.id,
+    bound: withinMs => {
+      stopBoundTimer()
+      stopBoundTimer = failAfter(withinMs, 'left-unsent')
+    }
   })
   const stopConnectTimers = () => {
     stopConnectTimeout()
@@ -178,12 +182,12 @@
 }
 
 /** Adds a request that waits for a connection; returns a function that removes it. */
-function addPendingConnect (pendingConnects: PendingConnects, backend: string, bound: (withinMs: number) => void): () => void {
-  const bounds = pendingConnects.get(backend) ?? new Set()
-  pendingConnects.set(backend, bounds.add(bound))
+function addPendingConnect (pendingConnects: PendingConnects, backend: string, pending: PendingConnect): () => void {
+  const requests = pendingConnects.get(backend) ?? new Set()
+  pendingConnects.set(backend, requests.add(pending))
   return () => {
-    bounds.delete(bound)
-    if (bounds.size === 0 && pendingConnects.get(backend) === bounds) pendingConnects.delete(backend)
+    requests.delete(pending)
+    if (requests.size === 0 && pendingConnects.get(backend) === requests) pendingConnects.delete(backend)
   }
 }
 
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -43,7 +43,7 @@
     case 'deliver': return runForExchange(parts, effect.id, exchange => parts.callerServer.deliver(exchange))
     case 'refuse': return runForExchange(parts, effect.id, exchange => parts.callerServer.refuse(exchange, effect))
     case 'close-backend': return parts.sender.closeBackend(effect.backend)
-    case 'bound-opening': return parts.sender.boundPendingConnects(effect.backend, effect.withinMs)
+    case 'bound-opening': return parts.sender.boundPendingConnects(effect.backend, effect.withinMs, effect.id)
     case 'claim-leadership': return runDetached(claimLeadership(effect, parts))
     case 'settle-granting': return runDetached(writeSettledRecord(effect.leaderRevision, parts))
     case 'renew-lease': return runDetached(renewLease(effect.lease, parts))
--- a/tests/leavingOpenings.spec.ts
+++ b/tests/leavingOpenings.spec.ts
@@ -56,3 +56,28 @@
   t.is(leaving.runs.length, 2)
   t.deepEqual(answers.map(({ status }) => status).sort(), [200, 200, 503, 503])
 })
+
+// Guards against one route's change of regions that fails the requests of other routes.
+test('a bound on the wait of one request for a connection leaves the other requests to the same server alone', async t => {
+  const timers = createTimerService(systemClock)
+  let arrived = 0
+  const server = createServer({ requireHostHeader: false }, (_, response) => {
+    arrived += 1
+    setTimeout(() => response.end('done'), 100)
+  })
+  const address = await listen(server)
+  const events: GatewayEvent[] = []
+  const sender = createBackendSender({ wire: platformWire, timers, post: event => events.push(event) > 0 })
+  t.teardown(() => {
+    sender.close()
+    server.close()
+    timers.close()
+  })
+  for (const id of ['1', '2', '3']) {
+    sender.send(buildExchange(id), { kind: 'send', id, attempt: 1, backend: 'i-1', address, timeoutMs: 1000, mayReuse: true, needsOwnConnection: false, maxIdleMs: 1000, maxConnections: 1 })
+  }
+  await waitFor(() => arrived === 1, 1000)
+  sender.boundPendingConnects('i-1', 0, '2')
+  await waitFor(() => arrived === 2, 1000)
+  t.deepEqual(events.flatMap(event => event.kind === 'send-failed' && event.failure === 'left-unsent' ? [event.id] : []), ['2'])
+})
