Test of a zone's return after its evacuation, with the share of each second

Cause: the growth of a returned zone's share was tested on one host only, and the return of its keys not at all.

Change: evacuationMoves.spec.ts plays a return in the emulator (6 hosts, 60 owners, 48 plain servers) and bounds the first four seconds by the integral of the stated share.

--- a/tests/evacuationMoves.spec.ts
+++ b/tests/evacuationMoves.spec.ts
@@ -108,7 +108,7 @@
 }
 
 /** Plays a day on which the backend servers are in six zones, and records the requests sent and the moves. */
-function playDay (faults: NonNullable<TrafficScenario['faults']>) {
+function playDay (faults: NonNullable<TrafficScenario['faults']>, overrides: Partial<TrafficScenario> = {}) {
   const sent: Sent[] = []
   const completedMs: number[] = []
   let moves = 0
@@ -125,7 +125,7 @@
       interpret(world, host, effect)
     }
   }
-  const result = runTrafficScenario({ ...day, faults: [{ at: 0, run: start }, ...faults] })
+  const result = runTrafficScenario({ ...day, ...overrides, faults: [{ at: 0, run: start }, ...faults] })
   const listOwnedIn = (zone: string) => [...result.world.hosts].filter(host => host.isUp).flatMap(host => host.state.placement?.services.get('shards') ?? [])
     .filter(range => result.world.backends.get(range.owner.id)?.registration.zone === zone)
   const findLast = (zone: string, isKeyed: boolean) => Math.max(...sent.filter(each => each.zone === zone && each.isKeyed === isKeyed).map(each => each.at))
@@ -177,3 +177,19 @@
   t.deepEqual(result.violations, [])
   t.true(findLast('zone-1', true) <= boundMs && findLast('zone-1', false) <= 50, `${findLast('zone-1', true)}`)
 })
+
+// Guards against all hosts sending to the idle servers of a zone that was taken back, and against keys that all return at once.
+test('a zone that was taken back gets its share of requests step by step', t => {
+  const endAt = evacuateAt + 2000
+  const { result, sent } = playDay([evacuate('zone-1'), takeBack('zone-1', endAt)], { lengthMs: 22_000, plain: 48, ordersPerSecond: 240 })
+  const countSent = (fromMs: number, toMs: number, isKeyed: boolean) => sent.filter(each => each.zone === 'zone-1' && each.isKeyed === isKeyed && each.at >= 2000 + fromMs && each.at < 2000 + toMs).length
+  const bySecond = (isKeyed: boolean) => Array.from({ length: 14 }, (_, second) => countSent(second * 1000, second * 1000 + 1000, isKeyed))
+  t.log(JSON.stringify({ plain: bySecond(false), keyed: bySecond(true), reads: result.reads }))
+  // The integral of the share over the first 4 s of 8 s is 1/3 s of all requests; three standard deviations are added.
+  const expected = 240 / 3
+  t.true(countSent(50, 4000, false) <= expected + 3 * Math.sqrt(expected), `${countSent(50, 4000, false)}`)
+  t.true(countSent(9000, 13_000, false) >= 240 * 4 / zoneCount / 2)
+  t.true(countSent(50, 4000, true) <= 3, `${countSent(50, 4000, true)}`)
+  t.true(result.reads.inTarget / result.reads.asked >= 0.95, JSON.stringify(result.reads))
+  t.deepEqual(result.violations, [])
+})
