--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -3,11 +3,13 @@
 import type { GatewayEvent, LoadReport } from './events.js'
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
+import { applyRegionChange } from './allowedRegions.js'
 import { applyDeregistration, applyRegistration, removeExpiredBackends } from './backends.js'
 import { advanceChangeLags, recordChangeLag } from './changeLags.js'
 import { applyCollectedReport } from './collecting.js'
 import { advanceCollectors } from './collectorAssignment.js'
 import { chooseGatewayLane } from './eventLane.js'
+import { advanceEvacuations, applyEvacuation } from './evacuation.js'
 import { advanceGranting, advanceAfterWrite } from './granting.js'
 import { applyGrantResult, applyReleaseResult } from './grantSteps.js'
 import { advanceLeadership, applyClaimResult, applyGrantingHost, applyLastGrantingHost, applyLeaseRenewal, applyReportedGrantingHost, checkPause } from './leadership.js'
@@ -58,9 +60,9 @@
     case 'answer-cut': return handleTruncatedAnswer(work, event, rules)
     case 'stray-bytes-read': return handleStrayBytes(work, event.backend)
     case 'send-failed': return handleSendFailure(work, event, rules)
-    // Signals of backend servers and evacuations have no effect yet.
-    case 'signals-read':
-    case 'evacuation-read': return
+    // Signals of backend servers have no effect yet.
+    case 'signals-read': return
+    case 'evacuation-read': return applyEvacuation(work, event)
     case 'configuration-read': return applyConfiguration(work, event)
     case 'backend-read': return applyRegistration(work, event.backend)
     case 'backend-gone': return applyDeregistration(work, event.id, event.graceMs)
@@ -109,6 +111,7 @@
 
 function tickGateway (work: GatewayWork, rules: GatewayRules): void {
   removeExpiredBackends(work)
+  advanceEvacuations(work)
   endOverdueRequests(work, rules)
   advanceWaiting(work, rules)
   advanceLeadership(work)
@@ -139,6 +142,7 @@
   state.configuration = configuration
   state.configurationRevision = revision
   state.routesByHost = buildRouteIndex(configuration)
+  applyRegionChange(work, configuration)
   work.effects.push({ kind: 'set-caller-limits', limits: configuration.limits })
   work.effects.push({ kind: 'log', event: 'configurationInForce', fields: { version: configuration.version, revision, routes: configuration.routes.length, lagMs } })
 }
