--- a/src/core/gateway/collecting.ts
+++ b/src/core/gateway/collecting.ts
@@ -69,8 +69,8 @@
     answers.set(id, { answered: answered + (known?.answered ?? 0), serviceMsSum: serviceMsSum + (known?.serviceMsSum ?? 0) })
   }
   for (const { service, keys, counts } of report.keys) addKeyCounts(keyCounts, service, keys, counts)
-  const { host, zone, placement, granting, renewed, address, processorShare } = report
-  members.set(host, { report: { host, zone, placement, granting, renewed, address, processorShare, ageMs: 0 }, receivedAt: now })
+  const { host, zone, placement, granting, renewed, address, processorShare, linkMbps } = report
+  members.set(host, { report: { host, zone, placement, granting, renewed, address, processorShare, linkMbps, ageMs: 0 }, receivedAt: now })
 }
 
 function addKeyCounts (keyCounts: Map<string, Map<number, number>>, service: string, keys: readonly number[], counts: readonly number[]): void {
--- a/src/core/gateway/collectorChoice.ts
+++ b/src/core/gateway/collectorChoice.ts
@@ -1,10 +1,13 @@
 import type { GrantingHost } from './model.js'
+import { hasLargeLink } from './controlCapacity.js'
 
 /** A host that reports its load, as a candidate for the collector of its availability zone. */
 export type CollectorCandidate = GrantingHost & {
   zone: string
   /** Processor time available to it, in cores. */
   processorShare: number
+  /** Bandwidth of its link, in Mbit/s; not a limit if undefined. */
+  linkMbps?: number | undefined
   /** Whether hosts of its zone report to it already. */
   isCollecting: boolean
 }
@@ -54,6 +57,7 @@
 
 function isBetter (host: CollectorCandidate, than: CollectorCandidate): boolean {
   if (host.isCollecting !== than.isCollecting) return host.isCollecting
+  if (hasLargeLink(host) !== hasLargeLink(than)) return hasLargeLink(host)
   if (host.processorShare !== than.processorShare) return host.processorShare > than.processorShare
   return host.host < than.host
 }
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -54,6 +54,8 @@
   address?: string | undefined
   /** Processor time available to the host, in cores. */
   processorShare?: number | undefined
+  /** Bandwidth of the host's link, in Mbit/s; not a limit if undefined. */
+  linkMbps?: number | undefined
   /** Number of hosts whose load the report contains; 1 if undefined. */
   hosts?: number | undefined
   /** Whether hosts of its zone report to this host. */
@@ -67,7 +69,7 @@
 }
 
 /** Report of a host that its collector passes on, without the load. `ageMs`: time since it arrived at the collector, in milliseconds. */
-export type MemberReport = Pick<LoadReport, 'host' | 'zone' | 'placement' | 'granting' | 'renewed' | 'address' | 'processorShare'> & { ageMs: number }
+export type MemberReport = Pick<LoadReport, 'host' | 'zone' | 'placement' | 'granting' | 'renewed' | 'address' | 'processorShare' | 'linkMbps'> & { ageMs: number }
 
 /** A granting host, with the revision of its record. */
 export type KnownGrantingHost = { host: GrantingHost, revision: number }
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -2,7 +2,8 @@
 import type { GrantingHost } from './model.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { largeHostProcessorShare, resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, smallHostDelayMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs } from './limits.js'
+import { resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs } from './limits.js'
+import { computeClaimDelayMs } from './controlCapacity.js'
 import { buildNotice, notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
 import { sendPlacementChange } from './publishing.js'
@@ -40,7 +41,7 @@
     granting.claimAt = undefined
     return
   }
-  granting.claimAt ??= now + uniformFloat64(state.random) * claimJitterMs + (state.identity.processorShare < largeHostProcessorShare ? smallHostDelayMs : 0)
+  granting.claimAt ??= now + uniformFloat64(state.random) * claimJitterMs + computeClaimDelayMs(state.identity)
   if (now < granting.claimAt) return
   granting.claimAt = undefined
   granting.role = 'claiming'
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -100,6 +100,7 @@
     // A host that is stopping can't be a collector.
     address: state.stop.phase === 'serving' ? state.identity.address : '',
     processorShare: state.identity.processorShare,
+    linkMbps: state.identity.linkMbps,
     placement: state.placementVersion,
     wantsPlacement: state.wantsPlacement,
     storeRevision: state.storeRevision,
--- a/src/core/gateway/renewalState.ts
+++ b/src/core/gateway/renewalState.ts
@@ -6,6 +6,7 @@
   /** Address for the exchange between hosts; empty while the host can't be a collector. */
   address: string
   processorShare: number
+  linkMbps?: number | undefined
   isCollecting: boolean
   /** Collector through which it reports; undefined when it reports directly. */
   collector: string | undefined
--- a/src/core/gateway/renewerAssignment.ts
+++ b/src/core/gateway/renewerAssignment.ts
@@ -30,14 +30,14 @@
   const { granting, reducedAt, identity } = work.state
   if (report.host === identity.host) return
   const reportedAt = reducedAt - report.ageMs
-  const { zone, placement, address = '', processorShare = 0 } = report
+  const { zone, placement, address = '', processorShare = 0, linkMbps } = report
   const known = granting.renewers.get(report.host)
   granting.hostReportedAt.set(report.host, Math.max(reportedAt, granting.hostReportedAt.get(report.host) ?? -Infinity))
   // A host that has changed its collector may be named by the former one for a moment.
   if (known !== undefined && reportedAt < known.reportedAt) return
-  const renewer: RenewerHost = known ?? { zone, address, processorShare, isCollecting: false, collector, reportedAt, placement, owners: new Set() }
+  const renewer: RenewerHost = known ?? { zone, address, processorShare, linkMbps, isCollecting: false, collector, reportedAt, placement, owners: new Set() }
   granting.renewers.set(report.host, renewer)
-  Object.assign(renewer, { zone, address, processorShare, collector, reportedAt, placement })
+  Object.assign(renewer, { zone, address, processorShare, linkMbps, collector, reportedAt, placement })
   if (report.renewed.length > 0) applyConfirmedRenewals(work, report.renewed)
 }
 
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -23,6 +23,8 @@
   regionOf: Map<string, string>
   address: string
   processorShare: number
+  /** Bandwidth of this host's link, in Mbit/s; not a limit if undefined. */
+  linkMbps?: number
   drainMs?: number
   evacuationMs?: number
   coldRequestsFactor?: number
--- a/src/protocol/fleetUpdate.ts
+++ b/src/protocol/fleetUpdate.ts
@@ -17,6 +17,7 @@
     renewed: report.renewed,
     address: report.address ?? '',
     processorMillicores: encodeProcessorShare(report.processorShare),
+    linkMbps: encodeLink(report.linkMbps),
     hosts: report.hosts ?? 0,
     isCollecting: report.isCollecting ?? false,
     members: (report.members ?? []).map(encodeMember),
@@ -54,14 +55,22 @@
 }
 
 function encodeMember (member: MemberReport): WireMember {
-  const { host, zone, placement, granting, renewed, address = '', processorShare, ageMs } = member
-  return { host, zone, placement, granting: encodeGranting(granting), renewed, address, processorMillicores: encodeProcessorShare(processorShare), ageMs }
+  const { host, zone, placement, granting, renewed, address = '', processorShare, linkMbps, ageMs } = member
+  return { host, zone, placement, granting: encodeGranting(granting), renewed, address, processorMillicores: encodeProcessorShare(processorShare), linkMbps: encodeLink(linkMbps), ageMs }
 }
 
 function encodeProcessorShare (cores: number | undefined): number {
   return Math.round((cores ?? 0) * 1000)
 }
 
+function encodeLink (mbps: number | undefined): number {
+  return mbps === undefined ? 0 : Math.max(1, Math.round(mbps))
+}
+
+function decodeLink (mbps: number): Pick<LoadReport, 'linkMbps'> {
+  return mbps === 0 ? {} : { linkMbps: mbps }
+}
+
 function encodeGranting (granting: LoadReport['granting']): WireGrantingHost | undefined {
   return granting === undefined ? undefined : { ...granting.host, revision: granting.revision }
 }
@@ -84,6 +93,7 @@
     renewed: message.renewed,
     address: message.address,
     processorShare: message.processorMillicores / 1000,
+    ...decodeLink(message.linkMbps),
     hosts: Math.max(1, message.hosts),
     isCollecting: message.isCollecting,
     members: message.members.map(decodeMember),
@@ -93,8 +103,8 @@
 }
 
 function decodeMember (message: WireMember): MemberReport {
-  const { host, zone, renewed, address, processorMillicores, ageMs } = message
-  return { host, zone, placement: decodeVersion(message.placement), granting: decodeGranting(message.granting), renewed, address, processorShare: processorMillicores / 1000, ageMs }
+  const { host, zone, renewed, address, processorMillicores, linkMbps, ageMs } = message
+  return { host, zone, placement: decodeVersion(message.placement), granting: decodeGranting(message.granting), renewed, address, processorShare: processorMillicores / 1000, ...decodeLink(linkMbps), ageMs }
 }
 
 /** Load of one backend server in a view. */
--- a/src/protocol/gatewaySettings.ts
+++ b/src/protocol/gatewaySettings.ts
@@ -17,6 +17,7 @@
     'peer-listen': addressField('Address for connections of other hosts'),
     'admin-listen': addressField('Address for operators and metrics collection'),
     'processor-share': buildNumberField(0.01, 1024, 'Number of CPU cores that this process may use; hosts with fewer cores leave granting to hosts with more').default(1),
+    'link-mbps': buildNumberField(0.1, 1_000_000, 'Bandwidth of the link of this host, in Mbit/s; hosts with a small link leave granting and collecting to others').default(1000),
     'grace-ms': buildNumberField(1000, maxGraceMs, 'Maximum time from the stop signal to the end of the process, in milliseconds').default(6000),
     'drain-s': buildNumberField(0.1, 3600, 'Time for which a backend server continues to serve requests after it announced that it is leaving, in seconds').default(2),
     'evacuation-s': buildNumberField(0.1, 3600, 'Time within which the last request is sent to an availability zone that operators evacuate, in seconds').default(5),
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -374,6 +374,8 @@
   nextFence: number;
   /** Backend servers that said in answers to the sender that they are leaving or cold. */
   marks: BackendMark[];
+  /** Bandwidth of the sender's link, in Mbit/s; 0 stands for unlimited. */
+  linkMbps: number;
 }
 
 /** What a host learned from answers of one instance of a backend server. age_ms: time since then; cold_ms: time for which it was still cold then, in milliseconds. */
@@ -417,6 +419,7 @@
   address: string;
   processorMillicores: number;
   ageMs: number;
+  linkMbps: number;
 }
 
 /** A grant, with the time since the last confirmed renewal was sent, in milliseconds (age_ms). */
@@ -3833,6 +3836,7 @@
     members: [],
     nextFence: 0,
     marks: [],
+    linkMbps: 0,
   };
 }
 
@@ -3886,6 +3890,9 @@
     for (const v of message.marks) {
       BackendMark.encode(v!, writer.uint32(130).fork()).join();
     }
+    if (message.linkMbps !== 0) {
+      writer.uint32(136).uint32(message.linkMbps);
+    }
     return writer;
   },
 
@@ -4030,6 +4037,14 @@
             message.marks.push(BackendMark.decode(reader, reader.uint32()));
             continue;
           }
+          case 17: {
+            if (tag !== 136) {
+              break;
+            }
+
+            message.linkMbps = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4369,6 +4384,7 @@
     address: "",
     processorMillicores: 0,
     ageMs: 0,
+    linkMbps: 0,
   };
 }
 
@@ -4398,6 +4414,9 @@
     if (message.ageMs !== 0) {
       writer.uint32(64).uint32(message.ageMs);
     }
+    if (message.linkMbps !== 0) {
+      writer.uint32(72).uint32(message.linkMbps);
+    }
     return writer;
   },
 
@@ -4478,6 +4497,14 @@
             message.ageMs = reader.uint32();
             continue;
           }
+          case 9: {
+            if (tag !== 72) {
+              break;
+            }
+
+            message.linkMbps = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -72,6 +72,7 @@
     regionOf: new Map(Object.entries(settings.regions)),
     address: gateway['peer-listen'],
     processorShare: gateway['processor-share'],
+    linkMbps: gateway['link-mbps'],
     drainMs: gateway['drain-s'] * 1000,
     evacuationMs: gateway['evacuation-s'] * 1000,
     coldRequestsFactor: gateway['cold-requests-factor'],
--- a/tests/support/platform/platformFleet.ts
+++ b/tests/support/platform/platformFleet.ts
@@ -80,6 +80,7 @@
         'peer-listen': `127.0.0.1:${await findPort()}`,
         'admin-listen': '127.0.0.1:0',
         'processor-share': 1,
+        'link-mbps': 1000,
         'grace-ms': 4000,
         'drain-s': 2,
         'evacuation-s': 5,
