A later bound on the opening of connections does not lengthen an earlier one

Cause: each bound on the requests that wait for a connection to a backend server replaced the one before, so that a later, longer bound gave them more time.

Change: the earliest bound holds.

--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -132,7 +132,11 @@
   })
   const stopConnectTimeout = failAfter(Math.min(connectTimeoutMs, effect.timeoutMs), 'connect-failed')
   let stopBoundTimer = () => {}
+  let boundAt = Infinity
   const removePendingConnect = addPendingConnect(pendingConnects, effect.backend, withinMs => {
+    const at = timers.clock.now() + withinMs
+    if (at >= boundAt) return
+    boundAt = at
     stopBoundTimer()
     stopBoundTimer = failAfter(withinMs, 'left-unsent')
   })
