Cold backend servers: shares of their allowance, a limit for keys, refusals

Cause: a server that has just started was sent as many requests as its slots took, by every host on its own, and `slowForMs` of later reports of an instance was ignored, so that a server that became cold again was not treated as such.

Change: the granting host deals the allowance of each cold server in whole shares to a few hosts near it (coldShares), in its answers to reports, through collectors too. A host spends its share in a sliding window of 1.2 s (coldAdmission) and refuses the rest with `backend-cold`. Withdrawn shares count until their holders can't use them any more, a new granting host waits for those of its predecessor, and a suspension ends them before the next event, for which the reducer is given both clocks. Each report of an instance sets its cold time anew, and marks and the return of a zone raise it (coldState). A cold server gets a quiet run of keys that fits (coldKeys, coldMoves), and is preferred by hosts with a share that sent it nothing for a second. A service with a limit needs a granting host even if its keys are not divided. Nothing changes for services that state no limit, but for later reports of `slowForMs`.

The specs of cold servers, planner, collectors, registrations, pages, moves, granting, relay, late changes, renewers and ownership histories pass; types and linter are clean. The whole suite was not run.

--- a/spec/gateway/trafficScenario.ts
+++ b/spec/gateway/trafficScenario.ts
@@ -1,4 +1,4 @@
-import type { Configuration, GatewayRoute } from '../../src/core/gateway/model.js'
+import type { Configuration, GatewayRoute, GatewayService } from '../../src/core/gateway/model.js'
 import type { GatewayRules } from '../../src/core/gateway/rules.js'
 import type { GatewayWorld, RequestOutcome } from './virtualWorld.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
@@ -33,6 +33,8 @@
   /** Faults to inject; `at` is in milliseconds after the start of traffic. */
   faults?: Array<{ at: number, run: (world: GatewayWorld) => void }>
   rules: GatewayRules
+  /** Requests a second that cold backend servers tolerate; no limit if undefined. */
+  coldRequestsPerSecond?: number
 }
 
 /** Numbers of requests by outcome: `asked` counts all, `inTarget` and `late` those answered within or after the target. */
@@ -116,10 +118,11 @@
   const route = (name: string, pathPrefix: string, service: string, idempotent: boolean, priority: number): GatewayRoute => {
     return { name, host: 'shop.test', pathPrefix, targets: [{ service, weight: 1 }], idempotent, timeoutMs: scenario.timeoutMs, targetMs: scenario.targetMs, maxAttempts: 2, priority }
   }
+  const cold = scenario.coldRequestsPerSecond === undefined ? {} : { coldRequestsPerSecond: scenario.coldRequestsPerSecond }
   return {
     version: 1,
     routes: [route('reads', '/reads/', 'shards', true, 0), route('orders', '/orders/', 'plain', false, 1)],
-    services: new Map([['shards', { name: 'shards', sharded: true, warmupMs: 2000 }], ['plain', { name: 'plain', sharded: false, warmupMs: 0 }]]),
+    services: new Map<string, GatewayService>([['shards', { name: 'shards', sharded: true, warmupMs: 2000, ...cold }], ['plain', { name: 'plain', sharded: false, warmupMs: 0, ...cold }]]),
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1e8, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
   }
 }
--- a/src/core/gateway/backendChoice.ts
+++ b/src/core/gateway/backendChoice.ts
@@ -4,6 +4,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { estimateInFlight } from './admission.js'
 import { checkEligibility } from './backendEligibility.js'
+import { computeJoiningDiscountMs } from './coldAdmission.js'
 
 /** Cost of a backend server in another availability zone, as milliseconds of waiting: traffic between zones is billed by volume. */
 const crossZoneMs = 50
@@ -71,7 +72,7 @@
       refusing.push(backend)
       continue
     }
-    const cost = computeTimeCost(state, request, backend, admission.expectedMs) + computeDistanceMs(state, request, backend) + uniformFloat64(state.random) * jitterMs
+    const cost = computeTimeCost(state, request, backend, admission.expectedMs) + computeDistanceMs(state, request, backend) + uniformFloat64(state.random) * jitterMs - computeColdDiscountMs(state, request, backend, admission.expectedMs)
     if (cost >= bestCost) continue
     best = backend
     bestCost = cost
@@ -118,6 +119,12 @@
   return Math.min(costMs, earlyMs) * earlyWeight + Math.max(0, costMs - earlyMs) * lateWeight
 }
 
+/** Computes by how much the cost of a cold server nearby is reduced if it can answer within the target, in milliseconds of waiting. */
+function computeColdDiscountMs (state: GatewayState, request: GatewayRequest, backend: Backend, expectedMs: number): number {
+  if (computeDistance(state, backend) === 2 || state.now + expectedMs > request.targetAt) return 0
+  return computeJoiningDiscountMs(state, backend)
+}
+
 function computeDistanceMs (state: GatewayState, request: GatewayRequest, backend: Backend): number {
   const distance = computeDistance(state, backend)
   if (distance === 0) return 0
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -1,5 +1,6 @@
 import type { BackendRegistration } from './model.js'
 import type { Backend, GatewayState, GatewayWork } from './state.js'
+import { applyStatedSlowness, recordColdStart } from './coldState.js'
 import { recordChangeLag } from './changeLags.js'
 import { resetReleaseBackoff } from './ownerAvailability.js'
 import { computeKnownAsOf } from './storeFreshness.js'
@@ -33,6 +34,7 @@
     state.backendsByService.get(known.service)?.delete(known.id)
     addToService(work, registration.service, known.id)
   }
+  applyStatedSlowness(work, known, registration)
   Object.assign(known, registration)
   state.expiredRegistrations.delete(known.id)
   known.leavingSince = registration.leaving ? known.leavingSince ?? computeEarliestLeavingAt(state) : undefined
@@ -81,6 +83,7 @@
   const backend: Backend = {
     ...registration,
     slowUntil: state.now + registration.slowForMs,
+    slowAtLeastUntil: -Infinity,
     leavingSince: registration.leaving ? computeEarliestLeavingAt(state) : undefined,
     inFlight: 0,
     othersInFlight: 0,
@@ -96,6 +99,7 @@
     serviceMsSinceReport: 0
   }
   state.backends.set(backend.id, backend)
+  recordColdStart(work, backend)
   addToService(work, backend.service, backend.id)
   const atAddress = state.backendsByAddress.get(backend.address) ?? new Set<string>()
   state.backendsByAddress.set(backend.address, atAddress.add(backend.id))
--- /dev/null
+++ b/src/core/gateway/coldShares.ts
@@ -0,0 +1,177 @@
+import type { ColdShare, FleetLoad } from './events.js'
+import type { GatewayState, GatewayWork } from './state.js'
+import type { Clocks } from './storeFreshness.js'
+import { coldWindowMs, computeColdAllowance, isLimitedByCold } from './coldAdmission.js'
+import { clockDrift, leadershipTtlMs, movingLeaseShare } from './limits.js'
+import { computeRenewerTimeoutMs } from './renewerAssignment.js'
+import { computeSuspendedMs } from './storeFreshness.js'
+
+/** Time for which a share is valid after the report that was answered with it, in milliseconds: two of the longest intervals between reports, one of them a collector's, and their delays. */
+export const coldShareValidMs = 2400
+/** Time between two rounds of dealing, in milliseconds. */
+const dealMs = 200
+/** Smallest share worth dealing to a host that chooses among servers: with smaller ones, chance decides whether its requests fit. */
+const minChosenShare = 4
+/** Smallest share for a service divided by keys: a request for a key can't be sent to another server, so that as many hosts as possible need a share. */
+const minKeyedShare = 1
+/** Time for which the granting host deals without a confirmation of its lease, in milliseconds. */
+const dealingLeaseMs = leadershipTtlMs * movingLeaseShare
+/** Time from an answer until the last request of its share has left the window, in milliseconds; a host's clock may run slower. */
+const shareEndMs = coldShareValidMs * clockDrift + coldWindowMs
+/** Time for which a new granting host deals nothing, in milliseconds: a predecessor may deal until its own lease has run out, also where a restored store has lost that lease. */
+export const firstDealMs = dealingLeaseMs + shareEndMs
+
+/** State of the dealing at the granting host. */
+export type ColdDealing = {
+  /** Requests in any second of each host, by backend server. */
+  shares: Map<string, Map<string, number>>
+  /** Shares that are no longer dealt, but that their hosts may still use until a time, by backend server. */
+  withdrawn: Map<string, Array<{ requests: number, until: number }>>
+  dealAt: number
+  /** When the process was last known to have been suspended: what was confirmed before is older than the monotonic clock says. */
+  suspendedAt: number
+}
+
+/** A cold backend server: the requests that it may get in any second, and the smallest share worth dealing. */
+export type ColdServer = { zone: string, allowance: number, minShare: number }
+/** A host that may get shares; `shares`: number of servers in which it has one. */
+export type ShareHost = { host: string, zone: string, shares: number }
+
+/** Builds the state of a host that has dealt nothing. */
+export function buildColdDealing (now: number): ColdDealing {
+  return { shares: new Map(), withdrawn: new Map(), dealAt: now, suspendedAt: -Infinity }
+}
+
+/**
+ * Plans further shares of a cold server, so that the sum of the `current` shares, of the `withheld` requests and of the
+ * new shares stays within its allowance. Hosts of its zone come first, then those of its region; of these, those with
+ * the fewest shares. All shares are equal; what remains of the allowance is not dealt.
+ */
+export function planColdShares (server: ColdServer, current: ReadonlyMap<string, number>, withheld: number, hosts: readonly ShareHost[], regionOf: ReadonlyMap<string, string>): Array<{ host: string, requests: number }> {
+  const { allowance, minShare, zone } = server
+  const wanted = Math.min(hosts.length, Math.floor(allowance / Math.min(minShare, Math.max(1, allowance))))
+  if (wanted <= current.size) return []
+  const requests = Math.floor(allowance / wanted)
+  let free = allowance - withheld
+  for (const dealt of current.values()) free -= dealt
+  const count = Math.min(wanted - current.size, Math.floor(free / requests))
+  if (count <= 0) return []
+  const region = regionOf.get(zone)
+  const computeCost = (host: ShareHost) => (host.zone === zone ? 0 : region !== undefined && regionOf.get(host.zone) === region ? 1 : 2) * 1e6 + host.shares
+  return hosts
+    .filter(({ host }) => !current.has(host))
+    .map(host => ({ host: host.host, cost: computeCost(host) }))
+    .sort((a, b) => a.cost - b.cost)
+    .slice(0, count)
+    .map(({ host }) => ({ host, requests }))
+}
+
+/** Deals the allowances of the cold servers at the granting host, and withdraws the shares of hosts that no longer report and of servers that are no longer cold. */
+export function advanceColdShares (work: GatewayWork): void {
+  const { state } = work
+  const { granting, now } = state
+  const { coldDealing } = granting
+  if (granting.role !== 'leading' || now < coldDealing.dealAt) return
+  coldDealing.dealAt = now + dealMs
+  dropEndedShares(coldDealing, state.reducedAt)
+  const hosts = listShareHosts(state)
+  dropUnusableShares(work, new Set(hosts.map(({ host }) => host)))
+  if (now < granting.leaderSince + firstDealMs || !isAllowedToDeal(state, { now: state.reducedAt, wall: state.wall })) return
+  for (const backend of state.backends.values()) {
+    if (!isLimitedByCold(state, backend) || backend.leaving) continue
+    const allowance = computeColdAllowance(state, backend.service) ?? 0
+    if (allowance === 0) continue
+    const isKeyed = state.configuration?.services.get(backend.service)?.sharded === true
+    const current = coldDealing.shares.get(backend.id) ?? new Map<string, number>()
+    const withheld = (coldDealing.withdrawn.get(backend.id) ?? []).reduce((sum, { requests }) => sum + requests, 0)
+    const added = planColdShares({ zone: backend.zone, allowance, minShare: isKeyed ? minKeyedShare : minChosenShare }, current, withheld, hosts, state.identity.regionOf)
+    if (added.length === 0) continue
+    for (const { host, requests } of added) {
+      current.set(host, requests)
+      for (const each of hosts) if (each.host === host) each.shares += 1
+    }
+    coldDealing.shares.set(backend.id, current)
+    work.effects.push({ kind: 'log', event: 'coldSharesDealt', fields: { backend: backend.id, allowance, withheld, hosts: current.size, requests: added[0]?.requests } })
+  }
+}
+
+function dropEndedShares ({ withdrawn }: ColdDealing, at: number): void {
+  for (const [id, shares] of withdrawn) {
+    const left = shares.filter(({ until }) => until > at)
+    if (left.length === 0) withdrawn.delete(id)
+    else withdrawn.set(id, left)
+  }
+}
+
+/** Lists the hosts that report and are not stopping, this one included. */
+function listShareHosts (state: GatewayState): ShareHost[] {
+  const { granting, identity, now } = state
+  const counts = new Map<string, number>()
+  for (const shares of granting.coldDealing.shares.values()) {
+    for (const host of shares.keys()) counts.set(host, (counts.get(host) ?? 0) + 1)
+  }
+  const timeoutMs = computeRenewerTimeoutMs(state)
+  const hosts = state.stop.phase === 'serving' ? [{ host: identity.host, zone: identity.zone, shares: counts.get(identity.host) ?? 0 }] : []
+  for (const [host, { zone, address, reportedAt }] of granting.renewers) {
+    if (address !== '' && now - reportedAt <= timeoutMs) hosts.push({ host, zone, shares: counts.get(host) ?? 0 })
+  }
+  return hosts
+}
+
+/** Withdraws shares; they count until their holders can't use them any more. */
+function dropUnusableShares (work: GatewayWork, reporting: ReadonlySet<string>): void {
+  const { state } = work
+  const { shares, withdrawn } = state.granting.coldDealing
+  for (const [id, byHost] of shares) {
+    const backend = state.backends.get(id)
+    const allowance = backend === undefined || !isLimitedByCold(state, backend) ? 0 : computeColdAllowance(state, backend.service) ?? 0
+    const isExcessive = [...byHost.values()].reduce((sum, requests) => sum + requests, 0) > allowance
+    for (const [host, requests] of byHost) {
+      if (!isExcessive && reporting.has(host)) continue
+      byHost.delete(host)
+      withdrawn.set(id, [...withdrawn.get(id) ?? [], { requests, until: state.reducedAt + shareEndMs }])
+    }
+    if (byHost.size === 0) shares.delete(id)
+  }
+}
+
+/** Whether this host leads by a lease that the store has confirmed recently; `clocks`: time of the answer that carries shares. */
+function isAllowedToDeal ({ granting, clocks: last }: GatewayState, clocks: Clocks): boolean {
+  if (granting.role !== 'leading' || granting.isLeadershipUncertain || granting.confirmedAt < granting.coldDealing.suspendedAt) return false
+  return clocks.now - granting.confirmedAt + computeSuspendedMs(last, clocks) < dealingLeaseMs
+}
+
+/** Builds the granting host's answer to one host on cold servers: its own shares, and those of the hosts that report to it. */
+export function buildColdAnswer (state: GatewayState, host: string, clocks: Clocks): Pick<FleetLoad, 'coldShares' | 'memberColdShares'> {
+  const { granting, backends } = state
+  if (granting.coldDealing.shares.size === 0 || !isAllowedToDeal(state, clocks)) return {}
+  const coldShares: ColdShare[] = []
+  const byMember = new Map<string, ColdShare[]>()
+  for (const [id, byHost] of granting.coldDealing.shares) {
+    const backend = backends.get(id)
+    if (backend === undefined) continue
+    for (const [holder, requests] of byHost) {
+      const share = { id, startedAt: backend.startedAt, requests, validMs: coldShareValidMs }
+      if (holder === host) coldShares.push(share)
+      else if (granting.renewers.get(holder)?.collector === host) byMember.set(holder, [...byMember.get(holder) ?? [], share])
+    }
+  }
+  return {
+    ...(coldShares.length === 0 ? {} : { coldShares }),
+    ...(byMember.size === 0 ? {} : { memberColdShares: [...byMember].map(([member, shares]) => ({ host: member, shares })) })
+  }
+}
+
+/** Keeps the shares of the hosts of the zone at their collector; `askedAt` is when the report that the granting host answered was sent. */
+export function keepMemberColdShares ({ collecting, cold }: GatewayState, load: FleetLoad, askedAt: number): void {
+  if (collecting.role !== 'collecting' || askedAt < cold.ignoreReportsBefore) return
+  collecting.coldShares = new Map((load.memberColdShares ?? []).map(({ host, shares }) => [host, { shares, askedAt }]))
+}
+
+/** Lists the shares that a collector passes on to a host of its zone, with what is left of their validity. */
+export function listMemberColdShares ({ collecting, clocks: last }: GatewayState, host: string, clocks: Clocks): ColdShare[] {
+  const known = collecting.coldShares.get(host)
+  if (known === undefined) return []
+  const ageMs = clocks.now - known.askedAt + computeSuspendedMs(last, clocks)
+  return known.shares.map(share => ({ ...share, validMs: share.validMs - ageMs })).filter(({ validMs }) => validMs > 0)
+}
--- a/src/core/gateway/collecting.ts
+++ b/src/core/gateway/collecting.ts
@@ -1,6 +1,7 @@
 import type { FleetLoad, LoadReport, MemberReport } from './events.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import type { Clocks } from './storeFreshness.js'
+import { listMemberColdShares } from './coldShares.js'
 import { buildCollectedLoad, buildCollectingState } from './collectingState.js'
 import { addReport, countInFlight } from './loadTotals.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
@@ -126,6 +127,7 @@
     if (inFlight > 0 || fleetServiceMs > 0) backends.push({ id, inFlight, serviceMs: fleetServiceMs, admitShare })
   }
   const renewals = collecting.renewals.get(host)
+  const coldShares = listMemberColdShares(state, host, clocks)
   return {
     hosts: state.hosts,
     reporters: collecting.reports.size,
@@ -137,6 +139,7 @@
     renewals: [...renewals?.owners ?? []],
     connectMs: renewals?.connectMs,
     renewalsAgeMs: renewals === undefined ? 0 : clocks.now - renewals.askedAt + computeSuspendedMs(state.clocks, clocks),
-    loadAgeMs: Math.max(0, unansweredMs)
+    loadAgeMs: Math.max(0, unansweredMs),
+    ...(coldShares.length === 0 ? {} : { coldShares })
   }
 }
--- a/src/core/gateway/collectingState.ts
+++ b/src/core/gateway/collectingState.ts
@@ -1,4 +1,4 @@
-import type { MemberReport } from './events.js'
+import type { ColdShare, MemberReport } from './events.js'
 import type { LoadTotals } from './loadTotals.js'
 import type { Relay } from './relaying.js'
 import { buildLoadTotals } from './loadTotals.js'
@@ -18,11 +18,13 @@
   collected: CollectedLoad
   /** Owners whose grants each host of the zone is asked to renew; the granting host answered a report sent at `askedAt`, and connections may be opened for `connectMs` from then. */
   renewals: Map<string, { owners: readonly string[], askedAt: number, connectMs: number | undefined }>
+  /** Shares in the requests of cold backend servers of each host of the zone; the granting host answered a report sent at `askedAt`. */
+  coldShares: Map<string, { shares: readonly ColdShare[], askedAt: number }>
 }
 
 /** Builds the state of a host that collects no reports. */
 export function buildCollectingState (now: number): CollectingState {
-  return { role: 'none', ...buildLoadTotals(), ...buildRelay(now), collected: buildCollectedLoad(), renewals: new Map() }
+  return { role: 'none', ...buildLoadTotals(), ...buildRelay(now), collected: buildCollectedLoad(), renewals: new Map(), coldShares: new Map() }
 }
 
 /** Builds an empty load. */
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -26,6 +26,7 @@
   backendReportIgnored: 4113,
   changeLags: 4114,
   collectorChanged: 4115,
+  backendCold: 4120,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
@@ -36,6 +37,7 @@
   grantFenced: 4208,
   grantConnectionsChanged: 4209,
   predecessorStopped: 4210,
+  coldSharesDealt: 4220,
   gatewayStopping: 4301
 } as const
 
--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -1,9 +1,11 @@
+import type { ColdDealing } from './coldShares.js'
 import type { GrantConnection } from './grantConnections.js'
 import type { GrantingHost, KeyRange, Placement } from './model.js'
 import type { LoadTotals } from './loadTotals.js'
 import type { VersionedPlacement } from './placementChange.js'
 import type { Relay } from './relaying.js'
 import type { RenewerHost } from './renewalState.js'
+import { buildColdDealing } from './coldShares.js'
 import { buildLoadTotals } from './loadTotals.js'
 import { buildRelay } from './relaying.js'
 
@@ -122,6 +124,7 @@
   renewers: Map<string, RenewerHost>
   /** Collector of each availability zone. */
   collectors: ReadonlyMap<string, GrantingHost>
+  coldDealing: ColdDealing
   /** When collectors are chosen next. */
   chooseCollectorsAt: number
   /** Host that renews the grants of each owner. */
@@ -185,6 +188,7 @@
     admitAt: now,
     renewers: new Map(),
     collectors: new Map(),
+    coldDealing: buildColdDealing(now),
     chooseCollectorsAt: now,
     renewerByOwner: new Map(),
     renewableUntil: new Map(),
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -6,6 +6,7 @@
 import { buildNotice, notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
 import { sendPlacementChange } from './publishing.js'
+import { dropColdShares } from './coldAdmission.js'
 import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
 
@@ -21,6 +22,7 @@
   const clockJumpMs = Math.abs(wall - state.wall - passedMs)
   if (passedMs < pauseThresholdMs && clockJumpMs < pauseThresholdMs) return
   stopRenewing(state, now)
+  dropColdShares(state, now)
   if (state.granting.role !== 'leading') return
   state.granting.isLeadershipUncertain = true
   state.granting.renewAt = now
@@ -36,7 +38,7 @@
     if (now - granting.claimSentAt > claimTimeoutMs) granting.role = 'follower'
     return
   }
-  if (state.stop.phase !== 'serving' || !state.storeUp || !state.storeSynced || state.grantingHost !== undefined || !hasShardedService(work)) {
+  if (state.stop.phase !== 'serving' || !state.storeUp || !state.storeSynced || state.grantingHost !== undefined || !hasGrantedService(work)) {
     granting.claimAt = undefined
     return
   }
@@ -53,9 +55,10 @@
   work.effects.push({ kind: 'claim-leadership', ttlMs: leadershipTtlMs, record, lastRevision: state.lastGranting?.revision ?? 0 })
 }
 
-function hasShardedService (work: GatewayWork): boolean {
+/** Whether a service needs a granting host: for its keys, or for the allowances of its cold servers. */
+function hasGrantedService (work: GatewayWork): boolean {
   for (const service of work.state.configuration?.services.values() ?? []) {
-    if (service.sharded) return true
+    if (service.sharded || service.coldRequestsPerSecond !== undefined) return true
   }
   return false
 }
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -6,6 +6,9 @@
 import type { Clocks } from './storeFreshness.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
 import { computeKeyRates } from './keyRates.js'
+import { applyColdShares } from './coldAdmission.js'
+import { listColdKeyRates } from './coldKeys.js'
+import { buildColdAnswer } from './coldShares.js'
 import { addCollectedLoad, buildCollectorAnswer, chooseReportAddress } from './collecting.js'
 import { addReport, countInFlight, dropReport } from './loadTotals.js'
 import { computeStoreAgeMs } from './storeFreshness.js'
@@ -42,7 +45,9 @@
   state.reportedTo = address
   if (state.granting.role === 'leading') {
     applyReport(work, report)
-    applyFleetLoad(work, buildFleetLoad(state, state.identity.host), inFlight)
+    const load = buildFleetLoad(state, state.identity.host)
+    applyFleetLoad(work, load, inFlight)
+    applyColdShares(state, load.coldShares, state.now)
     return
   }
   work.effects.push({ kind: 'report-load', address, report, inFlight })
@@ -191,7 +196,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
+  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host), ...buildColdAnswer(state, host, clocks) }
 }
 
 /** Builds the answer to a host's report; undefined when hosts should not report to this one. */
@@ -289,6 +294,8 @@
 export function listCandidates (work: GatewayWork, service: string): Candidate[] {
   const { state } = work
   const candidates: Candidate[] = []
+  const coldKeyRates = listColdKeyRates(state, service)
+  const hasColdLimit = state.configuration?.services.get(service)?.coldRequestsPerSecond !== undefined
   for (const id of state.backendsByService.get(service) ?? []) {
     const backend = state.backends.get(id)
     if (backend === undefined || backend.leaving || state.expiredRegistrations.has(id)) continue
@@ -299,7 +306,8 @@
       address: backend.address,
       slots: backend.slots,
       serviceMs: computeServiceMs(state, id) ?? (backend.serviceMs || assumedServiceMs),
-      isWarmingUp: backend.slowUntil > state.now
+      isWarmingUp: backend.slowUntil > state.now,
+      ...(hasColdLimit ? { hasColdLimit, maxKeyRate: coldKeyRates.get(id) } : {})
     })
   }
   return candidates
--- a/src/core/gateway/planner.ts
+++ b/src/core/gateway/planner.ts
@@ -1,4 +1,5 @@
 import type { KeyOwner, KeyRange } from './model.js'
+import { hasRoom, isShortOfKeys, planColdMoves } from './coldMoves.js'
 import { imbalanceLimit, maxRangesPerOwner, maxMovesPerRound } from './limits.js'
 import { keyCount } from './model.js'
 
@@ -9,6 +10,10 @@
   serviceMs: number
   /** Whether it is still slow after its start. */
   isWarmingUp: boolean
+  /** Whether its service limits the requests of cold servers, so that it gets few keys at first. */
+  hasColdLimit?: boolean | undefined
+  /** Requests a second that keys given to it may bring while it is cold; undefined if there is no limit. */
+  maxKeyRate?: number | undefined
 }
 
 /** Input of the planner for one sharded service. */
@@ -50,6 +55,8 @@
 const minCapacityRatio = 1.2
 /** Parts of about equal load into which the keys of an owner that is no longer a candidate are split. */
 const partsPerLostOwner = 4
+/** Share of the candidates that must be warm for them to get all keys at first: fewer would be overloaded until the others are warm. */
+const minWarmShare = 0.5
 /** Smallest such part, in requests a second. */
 const minPartRate = 0.5
 /** Lower bound of the limit on the moves to neighbouring owners that one round plans while there are too many ranges. */
@@ -58,13 +65,16 @@
 const consolidatedShare = 0.25
 
 /** A range with its load, as the moves planned so far leave it; `owner` names an instance of a backend server, `keys` are the recently requested ones. */
-type RangeLoad = { from: number, to: number, owner: string, isMovable: boolean, keys: Array<[key: number, rate: number]>, rate: number }
+export type RangeLoad = { from: number, to: number, owner: string, isMovable: boolean, keys: Array<[key: number, rate: number]>, rate: number }
 /** Load of a candidate as a share of its slots, and the number of its ranges, after the moves planned so far. */
-type OwnerLoad = { instance: string, candidate: Candidate, load: number, ranges: number }
-type OwnerLoads = Map<string, OwnerLoad>
+export type OwnerLoad = { instance: string, candidate: Candidate, load: number, ranges: number }
+/** Load of each candidate, by its instance. */
+export type OwnerLoads = Map<string, OwnerLoad>
 
-/** Splits the whole key space among the candidates, in proportion to their capacity. */
-export function planInitial (candidates: readonly Candidate[]): PlannedMove[] {
+/** Splits the whole key space among the candidates, in proportion to their capacity; cold ones with a limit get keys later, unless most are cold. */
+export function planInitial (all: readonly Candidate[]): PlannedMove[] {
+  const warm = all.filter(({ maxKeyRate }) => maxKeyRate === undefined)
+  const candidates = warm.length < all.length * minWarmShare ? all : warm
   const total = candidates.reduce((sum, candidate) => sum + computeCapacity(candidate), 0)
   const moves: PlannedMove[] = []
   let from = 0
@@ -95,6 +105,7 @@
   const unownedRanges = ranges.filter(range => range.isMovable && !ownerLoads.has(range.owner))
   const unownedRates = computeOwnerRates(unownedRanges)
   for (const range of unownedRanges) moves.push(...placeUnownedRange(ranges, range, ownerLoads, (unownedRates.get(range.owner) ?? 0) / partsPerLostOwner))
+  if (input.overloadThreshold < Infinity) moves.push(...planColdMoves(ranges, ownerLoads))
   for (let round = 0; round < maxMovesPerRound; round++) {
     const move = planOverloadMove(ranges, ownerLoads, input)
     if (move === undefined) break
@@ -134,12 +145,13 @@
   })
 }
 
-function computeCapacity (candidate: Candidate): number {
+/** Computes the requests a second that fill all slots of a candidate. */
+export function computeCapacity (candidate: Candidate): number {
   return candidate.slots * 1000 / candidate.serviceMs
 }
 
 /** Computes the share of a candidate's slots that a rate of requests occupies. */
-function computeUtilization (rate: number, candidate: Candidate): number {
+export function computeUtilization (rate: number, candidate: Candidate): number {
   return rate / computeCapacity(candidate)
 }
 
@@ -168,7 +180,8 @@
 function findLeastLoaded (ownerLoads: OwnerLoads, rate: number): OwnerLoad | undefined {
   let best: OwnerLoad | undefined
   let bestLoad = Infinity
-  for (const ownerLoad of ownerLoads.values()) {
+  const fitting = [...ownerLoads.values()].filter(ownerLoad => hasRoom(ownerLoad, rate))
+  for (const ownerLoad of fitting.length === 0 ? ownerLoads.values() : fitting) {
     const load = (ownerLoad.load + computeUtilization(rate, ownerLoad.candidate)) * (ownerLoad.candidate.isWarmingUp ? 1.5 : 1) + ownerLoad.ranges * 0.002
     if (load >= bestLoad) continue
     best = ownerLoad
@@ -209,12 +222,13 @@
   return moves
 }
 
-function cutRangeLoad (range: RangeLoad, from: number, to: number, owner: string, isMovable: boolean): RangeLoad {
+/** Cuts the keys from `from` to `to` out of a range, with their load. */
+export function cutRangeLoad (range: RangeLoad, from: number, to: number, owner: string, isMovable: boolean): RangeLoad {
   return buildRangeLoad(from, to, owner, isMovable, range.keys.filter(([key]) => key >= from && key <= to))
 }
 
 /** Finds the key up to which the first keys of a range add up to the given rate. */
-function findSplitKey (range: RangeLoad, rate: number): number {
+export function findSplitKey (range: RangeLoad, rate: number): number {
   let rateSoFar = 0
   let from = range.from
   for (const [key, keyRate] of range.keys) {
@@ -243,9 +257,9 @@
 
 function planOwnerMove (ranges: RangeLoad[], ownerLoads: OwnerLoads, busiest: OwnerLoad, input: PlannerInput): PlannedMove | undefined {
   const mean = computeMeanLoad(ownerLoads)
-  const target = findTarget(ownerLoads, busiest)
+  const target = findTarget(ownerLoads, busiest, mean)
   if (target === undefined) return undefined
-  const isUnused = target.ranges === 0
+  const isUnused = isShortOfKeys(target, mean)
   const isOverloaded = busiest.load > input.overloadThreshold && busiest.load > mean * imbalanceLimit
   if (!isUnused && !isOverloaded) return undefined
   // Bringing one of the two owners to the mean load takes the fewest moves.
@@ -277,11 +291,11 @@
 }
 
 /** Finds the owner that should receive keys: one without any, else the least loaded. */
-function findTarget (ownerLoads: OwnerLoads, busiest: OwnerLoad): OwnerLoad | undefined {
+function findTarget (ownerLoads: OwnerLoads, busiest: OwnerLoad, mean: number): OwnerLoad | undefined {
   let best: OwnerLoad | undefined
   for (const ownerLoad of ownerLoads.values()) {
     if (ownerLoad === busiest || ownerLoad.candidate.isWarmingUp || ownerLoad.ranges >= maxRangesPerOwner) continue
-    if (ownerLoad.ranges === 0) return ownerLoad
+    if (isShortOfKeys(ownerLoad, mean)) return ownerLoad
     if (best === undefined || ownerLoad.load < best.load) best = ownerLoad
   }
   return best
@@ -349,7 +363,8 @@
   return best === undefined ? undefined : cutRangeLoad(range, best[0], best[1], range.owner, true)
 }
 
-function replaceSegment (ranges: RangeLoad[], segment: RangeLoad, owner: string): void {
+/** Cuts a segment out of its range and gives it to another owner, by its instance. */
+export function replaceSegment (ranges: RangeLoad[], segment: RangeLoad, owner: string): void {
   const index = ranges.findIndex(range => range.from <= segment.from && range.to >= segment.to)
   const range = ranges[index]
   if (range === undefined) return
@@ -376,7 +391,7 @@
     const ownerLoad = [ranges[index - 1], ranges[index + 1]]
       .filter(neighbour => neighbour !== undefined && neighbour.isMovable && neighbour.owner !== range.owner)
       .map(neighbour => ownerLoads.get(neighbour?.owner ?? ''))
-      .find(found => found !== undefined && found.load + computeUtilization(rate, found.candidate) <= mean * neighbourLoadLimit)
+      .find(found => found !== undefined && hasRoom(found, rate) && found.load + computeUtilization(rate, found.candidate) <= mean * neighbourLoadLimit)
     if (ownerLoad === undefined) continue
     for (const near of [index - 1, index, index + 1]) touched.add(near)
     ownerLoad.load += computeUtilization(rate, ownerLoad.candidate)
@@ -390,6 +405,7 @@
   return `${owner.id}@${owner.startedAt}`
 }
 
-function buildKeyOwner (candidate: Candidate): KeyOwner {
+/** Builds the owner of keys that a candidate becomes. */
+export function buildKeyOwner (candidate: Candidate): KeyOwner {
   return { id: candidate.id, startedAt: candidate.startedAt, address: candidate.address }
 }
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -5,6 +5,9 @@
 import type { GatewayState, GatewayWork } from './state.js'
 import { applyDeregistration, applyRegistration, removeExpiredBackends } from './backends.js'
 import { advanceChangeLags, recordChangeLag } from './changeLags.js'
+import { dropColdRecords } from './coldAdmission.js'
+import { advanceColdShares } from './coldShares.js'
+import { applyColdMarks } from './coldState.js'
 import { applyCollectedReport } from './collecting.js'
 import { advanceCollectors } from './collectorAssignment.js'
 import { chooseGatewayLane } from './eventLane.js'
@@ -27,11 +30,12 @@
 import { applySuspension, recordKnownAsOf } from './storeFreshness.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
-/** Reducer of a gateway: makes every decision on requests, keys and leadership. `reducedAt`: time at which the event is reduced, later than `event.now` when it was queued. */
-export function reduceGateway (state: GatewayState, event: GatewayEvent, rules: GatewayRules, reducedAt = event.now): Step<GatewayState, GatewayEffect> {
+/** Reducer of a gateway: makes every decision on requests, keys and leadership. `reducedAt`: time at which the event is reduced, later than `event.now` when it was queued; `wall`: the wall clock at that time, if it was read, so that a suspension is noticed before the next tick. */
+export function reduceGateway (state: GatewayState, event: GatewayEvent, rules: GatewayRules, reducedAt = event.now, wall?: number): Step<GatewayState, GatewayEffect> {
   const work: GatewayWork = { state, effects: [] }
   const lane = chooseGatewayLane(event)
   const { laneNow } = state
+  if (wall !== undefined) applySuspension(state, { now: reducedAt, wall })
   // A control event is reduced at its own lane's time: an event that was posted before a pause must not be taken for late.
   state.now = laneNow[lane]
   // Ticks come every few milliseconds, so a gap before any control event indicates that the process was paused.
@@ -91,6 +95,7 @@
   applyReport(work, report)
   applyCollectedReport(work, report)
   applyRenewerReport(work, report)
+  applyColdMarks(work, report.marks)
 }
 
 /** Computes when the tick after the one at `tickedAt` is due: an idle host needs few, and each one wakes its process. */
@@ -118,6 +123,8 @@
   dropExpiredReports(work.state.collecting, work.state.now)
   advanceGranting(work, rules)
   advanceCollectors(work, rules)
+  advanceColdShares(work)
+  dropColdRecords(work.state)
   advanceRenewing(work)
   advanceReport(work)
   updateStoreSource(work)
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -5,6 +5,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { estimateInFlight, estimateWaitMs, recordShortage } from './admission.js'
 import { checkEligibility } from './backendEligibility.js'
+import { recordColdSend } from './coldAdmission.js'
 import { scheduleEarlyReport } from './loadExchange.js'
 import { computeLastSendAt } from './backends.js'
 import { ownerWaitMs } from './limits.js'
@@ -196,4 +197,5 @@
     maxIdleMs: request.route.idempotent ? maxIdleMs : maxIdleNonIdempotentMs,
     maxConnections: computeConnectionShare(state, request.service)
   })
+  recordColdSend(work, backend)
 }
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -1,4 +1,5 @@
 import type { ChangeLags } from './changeLags.js'
+import type { ColdSpending } from './coldAdmission.js'
 import type { CollectingState } from './collectingState.js'
 import type { GrantingState } from './grantingState.js'
 import type { Lane } from '../lane.js'
@@ -10,6 +11,7 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { buildChangeLags } from './changeLags.js'
+import { buildColdSpending } from './coldAdmission.js'
 import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
 import { buildRenewalState } from './renewalState.js'
@@ -57,7 +59,10 @@
 
 /** What this host knows and estimates about one backend server. */
 export type Backend = BackendRegistration & {
+  /** Until when it is slow after its start, and cold if its service limits the requests of cold servers. */
   slowUntil: number
+  /** Time before which a registration does not end that: it may have been written before this host learned that the server is cold. */
+  slowAtLeastUntil: number
   /** Earliest time at which it may have begun to leave; undefined while it is not leaving. */
   leavingSince: number | undefined
   inFlight: number
@@ -165,6 +170,7 @@
   collecting: CollectingState
   granting: GrantingState
   renewing: RenewalState
+  cold: ColdSpending
   /** Smoothed time that owners take to answer a grant, in milliseconds. */
   grantAnswerMs: number
 }
@@ -227,6 +233,7 @@
     collecting: buildCollectingState(now),
     granting: buildGrantingState(now),
     renewing: buildRenewalState(),
+    cold: buildColdSpending(now),
     grantAnswerMs: 0
   }
 }
--- a/src/core/gateway/storeFreshness.ts
+++ b/src/core/gateway/storeFreshness.ts
@@ -1,5 +1,6 @@
 import type { ChangeKind } from './changeLags.js'
 import type { GatewayState } from './state.js'
+import { dropColdShares } from './coldAdmission.js'
 import { minSuspensionMs } from './limits.js'
 import { findRelay } from './relaying.js'
 
@@ -29,6 +30,8 @@
 
 /** Reduces the times up to which the store is known by the time for which the process was suspended, since the monotonic clock did not count it. */
 export function applySuspension (state: GatewayState, clocks: Clocks): void {
+  // An event may be reduced after later ones, with readings that are older than theirs.
+  if (state.clocks !== undefined && clocks.now < state.clocks.now) return
   const suspendedMs = computeSuspendedMs(state.clocks, clocks)
   state.clocks = { now: clocks.now, wall: clocks.wall }
   if (suspendedMs === 0) return
@@ -37,6 +40,9 @@
   state.granting.relayedAsOf -= suspendedMs
   state.collecting.relayedAsOf -= suspendedMs
   for (const renewals of state.collecting.renewals.values()) renewals.askedAt -= suspendedMs
+  for (const shares of state.collecting.coldShares.values()) shares.askedAt -= suspendedMs
+  state.granting.coldDealing.suspendedAt = clocks.now
+  dropColdShares(state, clocks.now)
   state.disruptedAt = clocks.now
 }
 
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -2,6 +2,9 @@
 import type { PlacementChange } from './model.js'
 import type { GatewayRules } from './rules.js'
 import type { GatewayState, GatewayWork } from './state.js'
+import { applyColdShares } from './coldAdmission.js'
+import { keepMemberColdShares } from './coldShares.js'
+import { applyColdMarks } from './coldState.js'
 import { applyCollectorChoice, dropCollector, keepMemberRenewals } from './collecting.js'
 import { computeRelayFreshMs, maxRelayFreshMs } from './limits.js'
 import { applyFleetLoad, countRelatedHosts } from './loadExchange.js'
@@ -83,5 +86,8 @@
   applyRenewalRequest(work.state, isBehind ? [] : event.load.renewals, event.reportedAt - (event.load.renewalsAgeMs ?? 0), event.load.connectMs)
   keepMemberRenewals(work.state, isBehind ? { ...event.load, memberRenewals: [] } : event.load, event.reportedAt)
   applyFleetLoad(work, event.load, event.reported)
+  applyColdMarks(work, event.load.marks)
+  applyColdShares(work.state, event.load.coldShares, event.reportedAt)
+  keepMemberColdShares(work.state, event.load, event.reportedAt)
   applyCollectorChoice(work, event.load)
 }
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -15,6 +15,7 @@
 import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeExpiryGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
+import { countColdBackends, countColdShares } from '../../core/gateway/coldAdmission.js'
 import { buildLoadAnswer, countReportingHosts } from '../../core/gateway/loadExchange.js'
 import { computeWatchPauseMs, idleTickMs } from '../../core/gateway/limits.js'
 import { computeNextTickAt, isGatewayReady, reduceGateway } from '../../core/gateway/reduceGateway.js'
@@ -93,7 +94,9 @@
       gateway_store_age_ms: current.knownAsOf === -Infinity ? 0 : Math.round(clock.now() - current.knownAsOf),
       gateway_told: current.storeSource === 'told' ? 1 : 0,
       gateway_events_waiting: program.countWaiting(),
-      gateway_reporting_hosts: countReportingHosts(current)
+      gateway_reporting_hosts: countReportingHosts(current),
+      gateway_cold_backends: countColdBackends(current),
+      gateway_cold_shares: countColdShares(current)
     }
   })
   const store = buildCountedStore(parts.store, metrics.countStoreCall)
@@ -141,7 +144,7 @@
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => {
-      const step = reduceGateway(current, event, parts.rules, clock.now())
+      const step = reduceGateway(current, event, parts.rules, clock.now(), clock.wall())
       ticks.update()
       return step
     },
