Dealing of cold shares does nothing without cold servers, and is bounded in each round

Change: without cold servers a round ends at once; one round deals shares of 32 servers at most. A test of shares after encoding and decoding.

--- a/src/core/gateway/coldShares.ts
+++ b/src/core/gateway/coldShares.ts
@@ -1,5 +1,5 @@
 import type { ColdShare, FleetLoad } from './events.js'
-import type { GatewayState, GatewayWork } from './state.js'
+import type { Backend, GatewayState, GatewayWork } from './state.js'
 import type { Clocks } from './storeFreshness.js'
 import { coldWindowMs, computeColdAllowance, isLimitedByCold } from './coldAdmission.js'
 import { clockDrift, leadershipTtlMs, movingLeaseShare } from './limits.js'
@@ -10,6 +10,8 @@
 export const coldShareValidMs = 2400
 /** Time between two rounds of dealing, in milliseconds. */
 const dealMs = 200
+/** Maximum number of servers of which one round deals shares: with 2,600 hosts, each takes some tenths of a millisecond. */
+const maxDealtServers = 32
 /** Smallest share worth dealing to a host that chooses among servers: with smaller ones, chance decides whether its requests fit. */
 const minChosenShare = 4
 /** Smallest share for a service divided by keys: a request for a key can't be sent to another server, so that as many hosts as possible need a share. */
@@ -74,25 +76,39 @@
   if (granting.role !== 'leading' || now < coldDealing.dealAt) return
   coldDealing.dealAt = now + dealMs
   dropEndedShares(coldDealing, state.reducedAt)
+  const coldBackends = [...state.backends.values()].filter(backend => isLimitedByCold(state, backend))
+  if (coldBackends.length === 0 && coldDealing.shares.size === 0) return
   const hosts = listShareHosts(state)
   dropUnusableShares(work, new Set(hosts.map(({ host }) => host)))
   if (now < granting.leaderSince + firstDealMs || !isAllowedToDeal(state, { now: state.reducedAt, wall: state.wall })) return
-  for (const backend of state.backends.values()) {
-    if (!isLimitedByCold(state, backend) || backend.leaving) continue
-    const allowance = computeColdAllowance(state, backend.service) ?? 0
-    if (allowance === 0) continue
-    const isKeyed = state.configuration?.services.get(backend.service)?.sharded === true
-    const current = coldDealing.shares.get(backend.id) ?? new Map<string, number>()
-    const withheld = (coldDealing.withdrawn.get(backend.id) ?? []).reduce((sum, { requests }) => sum + requests, 0)
-    const added = planColdShares({ zone: backend.zone, allowance, minShare: isKeyed ? minKeyedShare : minChosenShare }, current, withheld, hosts, state.identity.regionOf)
-    if (added.length === 0) continue
-    for (const { host, requests } of added) {
-      current.set(host, requests)
-      for (const each of hosts) if (each.host === host) each.shares += 1
-    }
-    coldDealing.shares.set(backend.id, current)
-    work.effects.push({ kind: 'log', event: 'coldSharesDealt', fields: { backend: backend.id, allowance, withheld, hosts: current.size, requests: added[0]?.requests } })
+  let dealt = 0
+  for (const backend of coldBackends) {
+    if (dealt === maxDealtServers) return
+    if (!backend.leaving && addColdShares(work, backend, hosts)) dealt += 1
+  }
+}
+
+/** Deals further shares of a cold server, if its allowance and the hosts permit; returns whether it did. */
+function addColdShares ({ state, effects }: GatewayWork, backend: Backend, hosts: readonly ShareHost[]): boolean {
+  const { shares, withdrawn } = state.granting.coldDealing
+  const { id, service, zone } = backend
+  const allowance = computeColdAllowance(state, service) ?? 0
+  if (allowance === 0) return false
+  const isKeyed = state.configuration?.services.get(service)?.sharded === true
+  const current = shares.get(id) ?? new Map<string, number>()
+  const withheld = (withdrawn.get(id) ?? []).reduce((sum, { requests }) => sum + requests, 0)
+  const added = planColdShares({ zone, allowance, minShare: isKeyed ? minKeyedShare : minChosenShare }, current, withheld, hosts, state.identity.regionOf)
+  if (added.length === 0) return false
+  const byName = new Map(added.map(({ host, requests }) => [host, requests]))
+  for (const host of hosts) {
+    const requests = byName.get(host.host)
+    if (requests === undefined) continue
+    current.set(host.host, requests)
+    host.shares += 1
   }
+  shares.set(id, current)
+  effects.push({ kind: 'log', event: 'coldSharesDealt', fields: { backend: id, allowance, withheld, hosts: current.size, requests: added[0]?.requests } })
+  return true
 }
 
 function dropEndedShares ({ withdrawn }: ColdDealing, at: number): void {
--- a/tests/coldAdmission.spec.ts
+++ b/tests/coldAdmission.spec.ts
@@ -11,6 +11,8 @@
 import { reduceGateway } from '../src/core/gateway/reduceGateway.js'
 import { buildGatewayRules } from '../src/core/gateway/rules.js'
 import { buildGatewayState } from '../src/core/gateway/state.js'
+import { decodeFleetLoad, encodeFleetLoad } from '../src/protocol/fleetUpdate.js'
+import { FleetLoadView } from '../src/protocol/gen/peer.js'
 
 const rules = buildGatewayRules()
 const wallOffsetMs = 1_000_000
@@ -208,3 +210,10 @@
     : [{ ...range, to: move.from - 1 }, { ...range, from: move.from, to: move.to, owner: move.owner, fence: 9 }, { ...range, from: move.to + 1 }].filter(({ from, to }) => from <= to))
   t.true(countRate(plan([...warm, buildCandidate(4)], after).filter(({ owner }) => owner.id === 'b-4')) > 1.85)
 })
+
+test('shares are the same after encoding and decoding, and answers of the former release give none', t => {
+  const load = buildLoad([share], { memberColdShares: [{ host: 'host-2', shares: [share, { ...share, id: 'b-2' }] }] })
+  const send = (sent: FleetLoad) => decodeFleetLoad(FleetLoadView.decode(FleetLoadView.encode(encodeFleetLoad(sent, new Map())).finish()), new Map())
+  t.like(send(load), { coldShares: load.coldShares, memberColdShares: load.memberColdShares })
+  t.is(send(buildLoad(undefined)).coldShares, undefined)
+})
