Less urgent requests get no share of cold servers while more urgent ones are refused

Cause: whichever request came first spent a host's share, so that urgent requests could be refused while less urgent ones of the same service were served.

Change: after a refusal with `backend-cold`, less urgent requests of the service are not sent to cold servers by this host for 2 s.

--- a/src/core/gateway/backendEligibility.ts
+++ b/src/core/gateway/backendEligibility.ts
@@ -11,8 +11,8 @@
 const eligible: Eligibility = { kind: 'eligible' }
 
 /** Checks whether a request may be sent to a backend server: first attempts, retries and owners of keys all pass here. */
-export function checkEligibility (state: GatewayState, _request: GatewayRequest, backend: Backend): Eligibility {
-  const coldWaitMs = computeColdWaitMs(state, backend)
+export function checkEligibility (state: GatewayState, request: GatewayRequest, backend: Backend): Eligibility {
+  const coldWaitMs = computeColdWaitMs(state, request, backend)
   if (coldWaitMs !== undefined) return { kind: 'ineligible', reason: 'backend-cold', waitMs: coldWaitMs }
   return eligible
 }
--- a/src/core/gateway/coldAdmission.ts
+++ b/src/core/gateway/coldAdmission.ts
@@ -1,5 +1,5 @@
 import type { ColdShare } from './events.js'
-import type { Backend, GatewayState, GatewayWork } from './state.js'
+import type { Backend, GatewayRequest, GatewayState, GatewayWork } from './state.js'
 
 /** Time after the opening of a request's connection is due within which it is opened or the request is not sent, in milliseconds. */
 const maxOpeningMs = 100
@@ -10,6 +10,8 @@
  * server; the rest is the reserve for requests that arrive later than others that were sent at the same time.
  */
 export const coldWindowMs = 1000 + maxOpeningMs + maxArrivalSpreadMs
+/** Time after such a refusal for which less urgent requests of the service get no part of a share, in milliseconds. */
+const urgentReserveMs = 2000
 /** Time without a request from this host after which a cold server with a share is preferred, in milliseconds: servers that join get work within a few seconds. */
 const joiningIdleMs = 1000
 /** Reduction of the cost of such a server, as milliseconds of waiting: more than the slowness of a cold server adds. */
@@ -25,11 +27,13 @@
   ignoreReportsBefore: number
   /** Earliest time of the first request: an earlier process of this host may have spent the same share just before. */
   spendFrom: number
+  /** When a request of each priority was last refused because servers were cold, by service. */
+  refusedAt: Map<string, Map<number, number>>
 }
 
 /** Builds the state of a host that holds no shares and started at `now`. */
 export function buildColdSpending (now: number): ColdSpending {
-  return { shares: new Map(), sentAt: new Map(), ignoreReportsBefore: -Infinity, spendFrom: now + coldWindowMs }
+  return { shares: new Map(), sentAt: new Map(), ignoreReportsBefore: -Infinity, spendFrom: now + coldWindowMs, refusedAt: new Map() }
 }
 
 /** Computes how many requests a cold server of a service may get in any second from all hosts together, a whole number; undefined if the service states no limit. */
@@ -46,10 +50,10 @@
 }
 
 /**
- * Computes for how long this host may send a backend server no request because it is cold, in milliseconds; undefined if
+ * Computes for how long this host may not send a request to a backend server because it is cold, in milliseconds; undefined if
  * it may send one now. Load that it answers: callers' requests beyond what a server tolerates just after its start.
  */
-export function computeColdWaitMs (state: GatewayState, backend: Backend): number | undefined {
+export function computeColdWaitMs (state: GatewayState, request: GatewayRequest, backend: Backend): number | undefined {
   if (!isLimitedByCold(state, backend)) return undefined
   const { cold, reducedAt } = state
   const coldForMs = backend.slowUntil - reducedAt
@@ -57,11 +61,28 @@
   // Without a share, another host may serve the caller's next attempt; no share is longer in use than the window.
   if (share === undefined || share.startedAt !== backend.startedAt || reducedAt >= share.validUntil || share.requests < 1) return Math.min(coldForMs, coldWindowMs)
   if (reducedAt < cold.spendFrom) return cold.spendFrom - reducedAt
+  const reservedMs = computeReservedMs(state, request)
+  if (reservedMs > 0) return Math.min(coldForMs, reservedMs)
   const recent = listRecentSends(state, backend.id)
   const blocking = recent[recent.length - share.requests]
   return blocking === undefined ? undefined : Math.min(coldForMs, blocking + coldWindowMs - reducedAt)
 }
 
+/** Computes for how much longer shares are kept for more urgent requests of the service, of which one was refused, in milliseconds. */
+function computeReservedMs ({ cold, reducedAt }: GatewayState, { service, route }: GatewayRequest): number {
+  let reservedMs = 0
+  for (const [priority, at] of cold.refusedAt.get(service) ?? []) {
+    if (priority < route.priority) reservedMs = Math.max(reservedMs, at + urgentReserveMs - reducedAt)
+  }
+  return reservedMs
+}
+
+/** Records that a request was refused because servers were cold. */
+export function recordColdRefusal ({ cold, reducedAt }: GatewayState, { service, route }: GatewayRequest): void {
+  const refusedAt = cold.refusedAt.get(service) ?? new Map<number, number>()
+  cold.refusedAt.set(service, refusedAt.set(route.priority, reducedAt))
+}
+
 function listRecentSends ({ cold, reducedAt }: GatewayState, id: string): number[] {
   return (cold.sentAt.get(id) ?? []).filter(at => at > reducedAt - coldWindowMs)
 }
--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -2,6 +2,7 @@
 import type { GatewayEvent } from './events.js'
 import type { GatewayRequest, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { recordColdRefusal } from './coldAdmission.js'
 
 /** Shortest time after which a refused caller is asked to retry, in milliseconds. */
 const minRetryMs = 40
@@ -27,6 +28,7 @@
 export function refuseRequest (work: GatewayWork, request: GatewayRequest, reason: RefusalReason, waitMs: number): void {
   if (request.mayHaveRun) return failRequest(work, request, reason, 502)
   const { state } = work
+  if (reason === 'backend-cold') recordColdRefusal(state, request)
   state.requests.delete(request.id)
   state.waiting.delete(request.id)
   const retryAfterMs = computeRetryAfterMs(work, request, waitMs)
--- a/tests/coldAdmission.spec.ts
+++ b/tests/coldAdmission.spec.ts
@@ -21,7 +21,7 @@
 function buildConfiguration (sharded: boolean, coldRequestsPerSecond: number | undefined): Configuration {
   return {
     version: 1,
-    routes: [{ name: 'items', host: 'shop.test', pathPrefix: '/', targets: [{ service: 'items', weight: 1 }], idempotent: true, timeoutMs: 3000, targetMs: 1500, maxAttempts: 2, priority: 0 }],
+    routes: [['/', 0], ['/uploads/', 2]].map(([pathPrefix, priority]) => ({ name: `items${priority}`, host: 'shop.test', pathPrefix: `${pathPrefix}`, targets: [{ service: 'items', weight: 1 }], idempotent: true, timeoutMs: 3000, targetMs: 1500, maxAttempts: 2, priority: Number(priority) })),
     services: new Map([['items', { name: 'items', sharded, warmupMs: 0, coldStartMs: 10_000, coldRequestsPerSecond }]]),
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1e8, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
   }
@@ -50,12 +50,12 @@
   for (let now = 100; now <= 2000; now += 100) tick(now)
   let count = 0
   /** Posts a request and returns the effects on it. */
-  const ask = (now: number, key?: number) => {
+  const ask = (now: number, key?: number, path = '/') => {
     count += 1
     const id = `${count}`
-    return post({ kind: 'request-arrived', now, id, head: { requestId: id, host: 'shop.test', path: '/', key, timeoutMs: 3000, bodyBytes: 0, replayable: true } })
+    return post({ kind: 'request-arrived', now, id, head: { requestId: id, host: 'shop.test', path, key, timeoutMs: 3000, bodyBytes: 0, replayable: true } })
   }
-  const isSent = (now: number) => ask(now).some(({ kind }) => kind === 'send')
+  const isSent = (now: number, path = '/') => ask(now, undefined, path).some(({ kind }) => kind === 'send')
   const share = (now: number, load: FleetLoad, reportedAt = now) => post({ kind: 'fleet-load-read', now, load, reported: new Map(), reportedAt })
   const setWallAhead = (ms: number) => { wallAheadMs += ms }
   return { post, tick, ask, isSent, share, setWallAhead, getState: () => state }
@@ -82,6 +82,16 @@
   for (const [index, at] of sent.entries()) t.true(at - (sent[index - 2] ?? -Infinity) >= coldWindowMs)
 })
 
+test('less urgent requests get no part of a share while more urgent ones of the service are refused', t => {
+  const { isSent, share: give } = startHost()
+  give(2000, buildLoad([{ ...share, requests: 1, validMs: 60_000 }]))
+  t.true(isSent(2010, '/uploads/1'))
+  t.false(isSent(2500))
+  t.false(isSent(2010 + coldWindowMs, '/uploads/1'))
+  t.true(isSent(2010 + coldWindowMs))
+  t.true(isSent(4600, '/uploads/1'))
+})
+
 test('a share runs out after its validity, counted from the report that was answered, and belongs to one instance', t => {
   const { isSent, share: give, post, tick } = startHost()
   give(2100, buildLoad([share]), 2000)
