Withdrawn shares of cold servers are dealt again to their holders at once

Cause: a server that was warm for a moment and became cold again got no request until its withdrawn shares had run out, 3.6 s, although their holders could use them anyway.

Change: a withdrawn share goes back to a holder that reports, which changes no sum. A property test of servers that become cold again.

--- a/spec/gateway/coldFleet.ts
+++ b/spec/gateway/coldFleet.ts
@@ -84,6 +84,12 @@
   return buildGatewayState({ host: name, zone, region: 'region-1', regionOf: new Map(), address: name, processorShare: 1, coldRequestsFactor: 1.5, coldRequestsExtra: 8 }, seed, now)
 }
 
+/** Announces for how much longer the server is cold to all hosts, after the delay of the store. */
+export function announceColdness (fleet: ColdFleet, slowForMs: number): void {
+  fleet.backend = { ...fleet.backend, slowForMs, report: (fleet.backend.report ?? 0) + 1 }
+  for (const host of fleet.hosts) postLater(fleet, host, 10, () => post(fleet, host, { kind: 'backend-read', now: 0, backend: fleet.backend }))
+}
+
 /** Starts a host with empty memory. */
 export function startColdHost (fleet: ColdFleet, host: ColdHost): void {
   host.isUp = true
--- a/src/core/gateway/coldShares.ts
+++ b/src/core/gateway/coldShares.ts
@@ -28,7 +28,7 @@
   /** Requests in any second of each host, by backend server. */
   shares: Map<string, Map<string, number>>
   /** Shares that are no longer dealt, but that their hosts may still use until a time, by backend server. */
-  withdrawn: Map<string, Array<{ requests: number, until: number }>>
+  withdrawn: Map<string, Array<{ host: string, requests: number, until: number }>>
   dealAt: number
   /** When the process was last known to have been suspended: what was confirmed before is older than the monotonic clock says. */
   suspendedAt: number
@@ -96,6 +96,8 @@
   if (allowance === 0) return false
   const isKeyed = state.configuration?.services.get(service)?.sharded === true
   const current = shares.get(id) ?? new Map<string, number>()
+  renewWithdrawnShares(state.granting.coldDealing, id, current, allowance, hosts)
+  if (current.size > 0) shares.set(id, current)
   const withheld = (withdrawn.get(id) ?? []).reduce((sum, { requests }) => sum + requests, 0)
   const added = planColdShares({ zone, allowance, minShare: isKeyed ? minKeyedShare : minChosenShare }, current, withheld, hosts, state.identity.regionOf)
   if (added.length === 0) return false
@@ -111,6 +113,20 @@
   return true
 }
 
+/** Deals withdrawn shares anew to their holders, which may use them anyway: the sum stays the same. */
+function renewWithdrawnShares ({ withdrawn }: ColdDealing, id: string, current: Map<string, number>, allowance: number, hosts: readonly ShareHost[]): void {
+  const earlier = withdrawn.get(id) ?? []
+  const sum = [...current.values(), ...earlier.map(({ requests }) => requests)].reduce((total, requests) => total + requests, 0)
+  if (earlier.length === 0 || sum > allowance) return
+  const reporting = new Set(hosts.map(({ host }) => host))
+  const left = earlier.filter(({ host, requests }) => {
+    if (current.has(host) || !reporting.has(host)) return true
+    current.set(host, requests)
+    return false
+  })
+  withdrawn.set(id, left)
+}
+
 function dropEndedShares ({ withdrawn }: ColdDealing, at: number): void {
   for (const [id, shares] of withdrawn) {
     const left = shares.filter(({ until }) => until > at)
@@ -145,7 +161,7 @@
     for (const [host, requests] of byHost) {
       if (!isExcessive && reporting.has(host)) continue
       byHost.delete(host)
-      withdrawn.set(id, [...withdrawn.get(id) ?? [], { requests, until: state.reducedAt + shareEndMs }])
+      withdrawn.set(id, [...withdrawn.get(id) ?? [], { host, requests, until: state.reducedAt + shareEndMs }])
     }
     if (byHost.size === 0) shares.delete(id)
   }
--- a/tests/coldShares.spec.ts
+++ b/tests/coldShares.spec.ts
@@ -3,7 +3,7 @@
 import { fc, testProp } from '@fast-check/ava'
 import test from 'ava'
 import { runUntil, scheduleIn } from '../spec/eventQueue.js'
-import { countBusiestSecond, createColdFleet, killColdHost, pauseColdHost, startColdHost } from '../spec/gateway/coldFleet.js'
+import { announceColdness, countBusiestSecond, createColdFleet, killColdHost, pauseColdHost, startColdHost } from '../spec/gateway/coldFleet.js'
 import { runTrafficScenario } from '../spec/gateway/trafficScenario.js'
 import { addBackend } from '../spec/gateway/virtualGateways.js'
 import { computeColdKeyRate } from '../src/core/gateway/coldKeys.js'
@@ -83,6 +83,25 @@
   t.true(countBusiestSecond(fleet.arrivals) <= bound, `${countBusiestSecond(fleet.arrivals)} requests in a second`)
 }, { seed: 82, numRuns: 60 })
 
+testProp('a server that is warm for a while and becomes cold again gets no more than the bound, though its shares were withdrawn and dealt anew', [
+  fc.integer(), fc.array(fc.record({ coldMs: fc.integer({ min: 1200, max: 6000 }), warmMs: fc.integer({ min: 50, max: 2500 }) }), { minLength: 1, maxLength: 3 }), fc.constantFrom(0, 0.5)
+], (t, seed, phases, lostAnswerShare) => {
+  const fleet = startFleet(seed, 3)
+  fleet.lostAnswerShare = lostAnswerShare
+  runUntil(fleet.queue, 7000)
+  for (const { coldMs, warmMs } of phases) {
+    announceColdness(fleet, 0)
+    runUntil(fleet.queue, fleet.queue.now + warmMs)
+    announceColdness(fleet, 100_000)
+    // What was sent until the hosts knew has arrived by then.
+    runUntil(fleet.queue, fleet.queue.now + 150)
+    const arrived = fleet.arrivals.length
+    runUntil(fleet.queue, fleet.queue.now + coldMs)
+    t.true(countBusiestSecond(fleet.arrivals.slice(arrived)) <= bound)
+    t.true(coldMs < 3000 || lostAnswerShare > 0 || fleet.arrivals.length > arrived, 'withdrawn shares are dealt anew to their holders')
+  }
+}, { seed: 83, numRuns: 30 })
+
 test('without faults a cold server gets most of what it tolerates, and a host that is cut off stops when its share has run out', t => {
   const fleet = startFleet(5, 3)
   runUntil(fleet.queue, 16_000)
