--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -29,6 +29,7 @@
   evacuationStarted: 4116,
   evacuationEnded: 4117,
   evacuationComplete: 4118,
+  backendCold: 4120,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
@@ -39,6 +40,7 @@
   grantFenced: 4208,
   grantConnectionsChanged: 4209,
   predecessorStopped: 4210,
+  coldSharesDealt: 4220,
   gatewayStopping: 4301
 } as const
 
--- a/src/core/gateway/evacuation.ts
+++ b/src/core/gateway/evacuation.ts
@@ -3,6 +3,7 @@
 import type { Backend, GatewayRequest, GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { recordChangeLag } from './changeLags.js'
+import { applyZoneReturn } from './coldState.js'
 import { computeKnownAsOf } from './storeFreshness.js'
 
 /** Evacuation of an availability zone, as this host knows it. */
@@ -97,9 +98,10 @@
   state.evacuations.zones.delete(zone)
   state.evacuations.endedAt.set(zone, state.now)
   // Whether the servers are still warm is not known here, so each of them counts as cold.
+  applyZoneReturn(work, zone)
   for (const backend of listBackends(state, zone)) {
-    const coldMs = state.configuration?.services.get(backend.service)?.coldStartMs ?? returnGrowthMs
-    backend.slowUntil = Math.max(backend.slowUntil, state.now + coldMs)
+    const service = state.configuration?.services.get(backend.service)
+    if (service?.coldRequestsPerSecond === undefined) backend.slowUntil = Math.max(backend.slowUntil, state.now + (service?.coldStartMs ?? returnGrowthMs))
   }
   work.effects.push({ kind: 'log', event: 'evacuationEnded', fields: { zone, forMs: Math.round(state.now - learnedAt), isComplete } })
 }
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -7,6 +7,7 @@
 import { buildNotice, notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
 import { sendPlacementChange } from './publishing.js'
+import { dropColdShares } from './coldAdmission.js'
 import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
 
@@ -22,6 +23,7 @@
   const clockJumpMs = Math.abs(wall - state.wall - passedMs)
   if (passedMs < pauseThresholdMs && clockJumpMs < pauseThresholdMs) return
   stopRenewing(state, now)
+  dropColdShares(state, now)
   if (state.granting.role !== 'leading') return
   state.granting.isLeadershipUncertain = true
   state.granting.renewAt = now
@@ -37,7 +39,7 @@
     if (now - granting.claimSentAt > claimTimeoutMs) granting.role = 'follower'
     return
   }
-  if (state.stop.phase !== 'serving' || !state.storeUp || !state.storeSynced || state.grantingHost !== undefined || !hasShardedService(work)) {
+  if (state.stop.phase !== 'serving' || !state.storeUp || !state.storeSynced || state.grantingHost !== undefined || !hasGrantedService(work)) {
     granting.claimAt = undefined
     return
   }
@@ -54,9 +56,10 @@
   work.effects.push({ kind: 'claim-leadership', ttlMs: leadershipTtlMs, record, lastRevision: state.lastGranting?.revision ?? 0 })
 }
 
-function hasShardedService (work: GatewayWork): boolean {
+/** Whether a service needs a granting host: for its keys, or for the allowances of its cold servers. */
+function hasGrantedService (work: GatewayWork): boolean {
   for (const service of work.state.configuration?.services.values() ?? []) {
-    if (service.sharded) return true
+    if (service.sharded || service.coldRequestsPerSecond !== undefined) return true
   }
   return false
 }
