What backend servers say in answers: leaving marks, pauses and reported load

Cause: backend servers state in their answers that they are leaving, that they want no requests for a while, and how loaded they are; the gateway read none of it. A leaving server got requests until its registration had come through the store, a host that was cut off from the store sent to it for good, a server that asked for a pause was asked again after 250 ms, and the load of a server was guessed from reports of hosts that are up to a second old.

Change: backendSignals.ts decodes the headers of answers to requests and to calls that grant or release keys; malformed values count as absent. The event signals-read comes before that of the answer and names the instance. - A leaving answer has the effect of a registration that says leaving, in the same step. Hosts report their marks, collectors pass them on, the granting host shares those of at most a quarter of a service's servers and moves the keys of a marked owner. A registration that says ready ends a mark if it was certainly written three heartbeats later. - A pause makes a server ineligible until its end, 10 s at most; callers of its keys are refused with backend-paused and asked back after it. - A reported load replaces, while it is recent, the estimate of other hosts' requests, and scales the expected time within the noise period. Reports carry each figure once; views carry those that say something else than the requests in flight that they hold anyway.

--- a/src/core/gateway/admission.ts
+++ b/src/core/gateway/admission.ts
@@ -1,6 +1,7 @@
 import type { Backend, GatewayRequest, GatewayState } from './state.js'
 import { loadMaxAgeMs, queueAllowance, targetShare } from './limits.js'
 import { countInFlight } from './loadTotals.js'
+import { computeSlowdownFactor, mergeFigure } from './reportedLoad.js'
 
 /** Growth of this host's requests in flight since the last load exchange that is ignored; growth beyond it is taken as growth at other hosts too. */
 const ignoredGrowth = 1
@@ -20,8 +21,13 @@
 /** Decision on whether a request may be sent to a backend server now. */
 export type Admission = { kind: 'admit', expectedMs: number } | { kind: 'refuse', waitMs: number }
 
-/** Estimates the requests in flight at a backend server, from all hosts. */
+/** Estimates the requests in flight at a backend server, from all hosts: by its own latest figure while that is recent. */
 export function estimateInFlight (state: GatewayState, backend: Backend): number {
+  return mergeFigure(state, backend, estimateWithoutFigure(state, backend))
+}
+
+/** Estimates the requests in flight at a backend server by what hosts report. */
+function estimateWithoutFigure (state: GatewayState, backend: Backend): number {
   if (state.now - state.loadReadAt > loadMaxAgeMs) return backend.inFlight * (1 + Math.min(maxInferredInFlight, (state.hosts - 1) / 2))
   const growth = Math.max(0, backend.inFlight - backend.inFlightAtReport - ignoredGrowth)
   return backend.inFlight + backend.othersInFlight + countInFlight(state.collecting, backend.id) + growth * Math.min(maxInferredGrowth, (state.hosts - 1) * growthSpread)
@@ -29,7 +35,8 @@
 
 /** Estimates the time for which one request occupies a slot of a backend server, in milliseconds. */
 export function estimateServiceMs (state: GatewayState, backend: Backend): number {
-  return backend.slowUntil > state.now ? backend.serviceMs * coldStartSlowdown : backend.serviceMs
+  const serviceMs = backend.slowUntil > state.now ? backend.serviceMs * coldStartSlowdown : backend.serviceMs
+  return serviceMs * computeSlowdownFactor(state, backend)
 }
 
 /** Estimates how long a request waits for a slot, in milliseconds. */
--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -2,6 +2,7 @@
 import type { GatewayEvent, SendFailure } from './events.js'
 import type { GatewayRules } from './rules.js'
 import type { Backend, GatewayRequest, GatewayWork } from './state.js'
+import { findOwnerPause } from './backendPauses.js'
 import { loadMaxAgeMs, ownerWaitMs, shedAvoidanceMs, unreachableAvoidanceMs } from './limits.js'
 import { holdRequest, placeRequest } from './requestDispatch.js'
 import { failRequest, refuseRequest } from './refusals.js'
@@ -34,6 +35,8 @@
     return retryOrRefuse(work, request, 'fenced-by-backend', 'fenced-by-backend', rules)
   }
   if (backend !== undefined) backend.avoidUntil = Math.max(backend.avoidUntil, work.state.now + shedAvoidanceMs)
+  const pause = findOwnerPause(work.state, request, backend)
+  if (pause !== undefined) return refuseRequest(work, request, pause.reason, pause.waitMs)
   // A key has only one owner: when that owner is full, an immediate retry would only add to its load.
   const isFullOwner = request.key !== undefined && backend !== undefined && request.inFlightAtSend > backend.slots
   if (isFullOwner) return refuseRequest(work, request, 'shed-by-backend', shedAvoidanceMs)
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -2,16 +2,19 @@
 import type { Backend, GatewayState, GatewayWork } from './state.js'
 import { recordChangeLag } from './changeLags.js'
 import { resetReleaseBackoff } from './ownerAvailability.js'
+import { applyMark, computeWrittenAfter, findMark } from './leavingMarks.js'
+import { buildSignalState } from './signalState.js'
 import { computeKnownAsOf } from './storeFreshness.js'
 import { assumedServiceMs, defaultDrainMs, expiryGraceMs, maxRemovedReports, drainSendShare } from './limits.js'
 
 /** Applies a registration of a backend server; a new instance of the server replaces the known one and starts without measurements. */
-export function applyRegistration (work: GatewayWork, registration: BackendRegistration): void {
+export function applyRegistration (work: GatewayWork, read: BackendRegistration): void {
   const { state } = work
-  if (isOutdated(state, registration)) {
-    work.effects.push({ kind: 'log', event: 'backendReportIgnored', fields: { backend: registration.id, startedAt: registration.startedAt, report: registration.report, leaving: registration.leaving } })
+  if (isOutdated(state, read)) {
+    work.effects.push({ kind: 'log', event: 'backendReportIgnored', fields: { backend: read.id, startedAt: read.startedAt, report: read.report, leaving: read.leaving } })
     return
   }
+  const registration = applyMark(state, read)
   recordLatestReport(state, registration)
   const known = state.backends.get(registration.id)
   const isSameInstance = known !== undefined && known.startedAt === registration.startedAt && known.address === registration.address
@@ -26,7 +29,7 @@
   }
   if (registration.leaving && !known.leaving) {
     const lagMs = recordChangeLag(work, 'leaving', known.id)
-    boundConnectionWait(work, known.id, known.service)
+    boundConnectionWait(work, known, computeEarliestLeavingAt(state))
     work.effects.push({ kind: 'log', event: 'backendLeft', fields: { backend: known.id, service: known.service, how: 'leaving', lagMs } })
   }
   if (registration.service !== known.service) {
@@ -36,6 +39,16 @@
   Object.assign(known, registration)
   state.expiredRegistrations.delete(known.id)
   known.leavingSince = registration.leaving ? known.leavingSince ?? computeEarliestLeavingAt(state) : undefined
+  if (!registration.leaving) known.readyAsOf = computeWrittenAfter(state)
+}
+
+/** Applies that a backend server said in an answer at time `since`, or before, that it is leaving, as if its registration said so. */
+export function applyLeaving (work: GatewayWork, backend: Backend, since: number): void {
+  const leavingSince = Math.min(since, backend.leavingSince ?? since)
+  if (backend.leaving && backend.leavingSince === leavingSince) return
+  backend.leaving = true
+  backend.leavingSince = leavingSince
+  boundConnectionWait(work, backend, leavingSince)
 }
 
 /** Computes the earliest time at which a backend server that this host now learns is leaving may have begun to leave: it was not leaving when the store was last known. */
@@ -50,10 +63,10 @@
 }
 
 /** Bounds how long requests may wait for a connection to a leaving backend server; an owner still gets requests for a while, as its keys may have no other owner yet. */
-function boundConnectionWait (work: GatewayWork, id: string, service: string): void {
+function boundConnectionWait (work: GatewayWork, { id, service }: Backend, leavingSince: number): void {
   const { state } = work
   const isOwner = state.configuration?.services.get(service)?.sharded === true
-  const withinMs = isOwner ? Math.max(0, computeLastSendAt(state, computeEarliestLeavingAt(state)) - state.now) : 0
+  const withinMs = isOwner ? Math.max(0, computeLastSendAt(state, leavingSince) - state.now) : 0
   work.effects.push({ kind: 'bound-opening', backend: id, withinMs })
 }
 
@@ -81,7 +94,9 @@
   const backend: Backend = {
     ...registration,
     slowUntil: state.now + registration.slowForMs,
-    leavingSince: registration.leaving ? computeEarliestLeavingAt(state) : undefined,
+    ...buildSignalState(),
+    readyAsOf: registration.leaving ? -Infinity : computeWrittenAfter(state),
+    leavingSince: registration.leaving ? findMark(state, registration)?.since ?? computeEarliestLeavingAt(state) : undefined,
     inFlight: 0,
     othersInFlight: 0,
     lastRefusedAt: new Map(),
--- a/src/core/gateway/collecting.ts
+++ b/src/core/gateway/collecting.ts
@@ -2,8 +2,10 @@
 import type { GatewayState, GatewayWork } from './state.js'
 import type { Clocks } from './storeFreshness.js'
 import { buildCollectedLoad, buildCollectingState } from './collectingState.js'
-import { addReport, countInFlight } from './loadTotals.js'
+import { listMarksToShare } from './leavingMarks.js'
+import { addReport, countInFlight, countOwnInFlight } from './loadTotals.js'
 import { buildPlacementChange, isLaterVersion } from './placementChange.js'
+import { addFigureToShare } from './reportedLoad.js'
 import { computeStoreAgeMs, computeSuspendedMs } from './storeFreshness.js'
 
 /** Time without an answer of a granting host after which a collector no longer answers the hosts of its zone, in milliseconds: longer than an election, so that they need not all watch the store during one. */
@@ -98,7 +100,8 @@
     id,
     inFlight: (own.get(id)?.inFlight ?? 0) + countInFlight(collecting, id),
     answered: (own.get(id)?.answered ?? 0) + (answers.get(id)?.answered ?? 0),
-    serviceMsSum: (own.get(id)?.serviceMsSum ?? 0) + (answers.get(id)?.serviceMsSum ?? 0)
+    serviceMsSum: (own.get(id)?.serviceMsSum ?? 0) + (answers.get(id)?.serviceMsSum ?? 0),
+    ...(own.get(id)?.reported === undefined ? {} : { reported: own.get(id)?.reported })
   }))
   const reports = [...members.values()].map(({ report: member, receivedAt }) => addReportAge(member, Math.max(0, Math.round(now - receivedAt))))
   return { ...report, backends, hosts: collecting.hostCount + 1, isCollecting: true, members: reports }
@@ -123,7 +126,7 @@
   for (const backend of state.backends.values()) {
     const inFlight = backend.othersInFlight + backend.inFlight + countInFlight(collecting, backend.id, host)
     const { id, fleetServiceMs, admitShare } = backend
-    if (inFlight > 0 || fleetServiceMs > 0) backends.push({ id, inFlight, serviceMs: fleetServiceMs, admitShare })
+    if (inFlight > 0 || fleetServiceMs > 0) backends.push(addFigureToShare(backend, { id, inFlight, serviceMs: fleetServiceMs, admitShare }, inFlight + countOwnInFlight(collecting, backend.id, host), clocks.now))
   }
   const renewals = collecting.renewals.get(host)
   return {
@@ -137,6 +140,7 @@
     renewals: [...renewals?.owners ?? []],
     connectMs: renewals?.connectMs,
     renewalsAgeMs: renewals === undefined ? 0 : clocks.now - renewals.askedAt + computeSuspendedMs(state.clocks, clocks),
-    loadAgeMs: Math.max(0, unansweredMs)
+    loadAgeMs: Math.max(0, unansweredMs),
+    marks: listMarksToShare(state, clocks.now)
   }
 }
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -26,6 +26,9 @@
   backendReportIgnored: 4113,
   changeLags: 4114,
   collectorChanged: 4115,
+  backendMarked: 4120,
+  backendMarkIgnored: 4121,
+  backendPaused: 4122,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
@@ -50,8 +53,8 @@
 
 /** Everything that the reducer can ask the runtime to do. */
 export type GatewayEffect =
-  /** `needsOwnConnection`: the request is sent on a connection that has carried no other request. */
-  | { kind: 'send', id: string, attempt: number, backend: string, address: string, timeoutMs: number, mayReuse: boolean, needsOwnConnection: boolean, maxIdleMs: number, maxConnections: number }
+  /** `needsOwnConnection`: the request is sent on a connection that has carried no other request. `startedAt`: instance of the backend server. */
+  | { kind: 'send', id: string, attempt: number, backend: string, startedAt?: number, address: string, timeoutMs: number, mayReuse: boolean, needsOwnConnection: boolean, maxIdleMs: number, maxConnections: number }
   | { kind: 'cancel', id: string }
   | { kind: 'deliver', id: string, attempt: number }
   | { kind: 'refuse', id: string, reason: RefusalReason, status: number, retryAfterMs: number | undefined }
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -134,8 +134,8 @@
   | { kind: 'send-failed', now: number, id: string, attempt: number, failure: SendFailure }
   /** Bytes arrived from a backend server that belong to no request. */
   | { kind: 'stray-bytes-read', now: number, backend: string }
-  /** A backend server said something about itself with an answer; posted before the event of that answer. */
-  | { kind: 'signals-read', now: number, backend: string, signals: BackendSignals }
+  /** A backend server said something about itself with an answer; posted before the event of that answer. `startedAt`: instance to which the request was sent; unknown if undefined. */
+  | { kind: 'signals-read', now: number, backend: string, startedAt?: number | undefined, signals: BackendSignals }
   /** Whether operators ask that nothing more is sent to the backend servers of an availability zone. */
   | { kind: 'evacuation-read', now: number, zone: string, isRequested: boolean }
   | { kind: 'configuration-read', now: number, configuration: Configuration, revision: number }
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -8,6 +8,8 @@
 import { computeKeyRates } from './keyRates.js'
 import { addCollectedLoad, buildCollectorAnswer, chooseReportAddress } from './collecting.js'
 import { addReport, countInFlight, dropReport } from './loadTotals.js'
+import { listMarksToReport, listMarksToShare } from './leavingMarks.js'
+import { addFigureToReport, addFigureToShare } from './reportedLoad.js'
 import { computeStoreAgeMs } from './storeFreshness.js'
 import { computeConnectMs } from './grantConnections.js'
 import { listMemberRenewals, listOwnersToRenew } from './renewerAssignment.js'
@@ -78,8 +80,9 @@
 function buildReport (state: GatewayState): LoadReport {
   const backends: LoadReport['backends'] = []
   for (const backend of state.backends.values()) {
-    if (backend.inFlight === 0 && backend.answeredSinceReport === 0) continue
-    backends.push({ id: backend.id, inFlight: backend.inFlight, answered: backend.answeredSinceReport, serviceMsSum: Math.round(backend.serviceMsSinceReport) })
+    const entry = addFigureToReport(state, backend, { id: backend.id, inFlight: backend.inFlight, answered: backend.answeredSinceReport, serviceMsSum: Math.round(backend.serviceMsSinceReport) })
+    if (backend.inFlight === 0 && backend.answeredSinceReport === 0 && entry.reported === undefined) continue
+    backends.push(entry)
     backend.answeredSinceReport = 0
     backend.serviceMsSinceReport = 0
   }
@@ -89,7 +92,7 @@
     return { service, keys: [...bounded.keys()], counts: [...bounded.values()] }
   })
   state.keyCounts.clear()
-  return { ...buildReportHead(state), backends, keys, renewed: listConfirmedRenewals(state) }
+  return { ...buildReportHead(state), backends, keys, renewed: listConfirmedRenewals(state), marks: listMarksToReport(state) }
 }
 
 function buildReportHead (state: GatewayState): Omit<LoadReport, 'backends' | 'keys' | 'renewed'> {
@@ -189,9 +192,9 @@
     const perHost = Math.max((backend.inFlight + backend.othersInFlight) / expected, reported / Math.max(1, hosts))
     const others = reported + Math.round(perHost * missingHosts)
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
-    if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
+    if (others > 0 || serviceMs > 0) backends.push(addFigureToShare(backend, { id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 }, countInFlight(granting, id), clocks.now))
   }
-  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
+  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host), marks: listMarksToShare(state, clocks.now) }
 }
 
 /** Builds the answer to a host's report; undefined when hosts should not report to this one. */
--- a/src/core/gateway/loadTotals.ts
+++ b/src/core/gateway/loadTotals.ts
@@ -32,10 +32,15 @@
 
 /** Counts the requests in flight at a backend server in the last reports of all hosts but `excludedHost`. */
 export function countInFlight (totals: LoadTotals, id: string, excludedHost?: string): number {
-  const own = excludedHost === undefined ? 0 : totals.reports.get(excludedHost)?.inFlight.get(id) ?? 0
+  const own = excludedHost === undefined ? 0 : countOwnInFlight(totals, id, excludedHost)
   return (totals.inFlight.get(id) ?? 0) - own
 }
 
+/** Counts the requests in flight at a backend server in the last report of one host. */
+export function countOwnInFlight (totals: LoadTotals, id: string, host: string): number {
+  return totals.reports.get(host)?.inFlight.get(id) ?? 0
+}
+
 /** Drops the report of a host, if there is one. */
 export function dropReport (totals: LoadTotals, host: string): void {
   const known = totals.reports.get(host)
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -25,6 +25,7 @@
 import { advanceRelay } from './relaying.js'
 import { buildRouteIndex } from './routing.js'
 import { applySuspension, recordKnownAsOf } from './storeFreshness.js'
+import { applyReportedSignals, handleSignals } from './signalHandling.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
 /** Reducer of a gateway: makes every decision on requests, keys and leadership. `reducedAt`: time at which the event is reduced, later than `event.now` when it was queued. */
@@ -58,8 +59,8 @@
     case 'answer-cut': return handleTruncatedAnswer(work, event, rules)
     case 'stray-bytes-read': return handleStrayBytes(work, event.backend)
     case 'send-failed': return handleSendFailure(work, event, rules)
-    // Signals of backend servers and evacuations have no effect yet.
-    case 'signals-read':
+    case 'signals-read': return handleSignals(work, event)
+    // Evacuations have no effect yet.
     case 'evacuation-read': return
     case 'configuration-read': return applyConfiguration(work, event)
     case 'backend-read': return applyRegistration(work, event.backend)
@@ -90,6 +91,7 @@
   for (const member of report.members ?? []) applyReportedGrantingHost(work, member)
   applyReport(work, report)
   applyCollectedReport(work, report)
+  applyReportedSignals(work, report)
   applyRenewerReport(work, report)
 }
 
--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -2,6 +2,7 @@
 import type { GatewayEvent } from './events.js'
 import type { GatewayRequest, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { computePauseRetryMs } from './backendPauses.js'
 
 /** Shortest time after which a refused caller is asked to retry, in milliseconds. */
 const minRetryMs = 40
@@ -29,7 +30,7 @@
   const { state } = work
   state.requests.delete(request.id)
   state.waiting.delete(request.id)
-  const retryAfterMs = computeRetryAfterMs(work, request, waitMs)
+  const retryAfterMs = reason === 'backend-paused' ? computePauseRetryMs(state, waitMs) : computeRetryAfterMs(work, request, waitMs)
   work.effects.push({ kind: 'refuse', id: request.id, reason, status: 503, retryAfterMs })
   work.effects.push({ kind: 'count-refusal', reason, outcome: 'not-run' })
   work.effects.push({
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -189,6 +189,7 @@
     id: request.id,
     attempt: request.attempt,
     backend: backend.id,
+    startedAt: backend.startedAt,
     address: backend.address,
     timeoutMs: Math.max(1, Math.floor(request.deadlineAt - state.now)),
     mayReuse: backend.noReuseUntil <= state.now,
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -4,7 +4,9 @@
 import type { Lane } from '../lane.js'
 import type { GatewayEffect } from './effects.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, Placement, PlacementVersion } from './model.js'
+import type { LeavingMark } from './leavingMarks.js'
 import type { RenewalState } from './renewalState.js'
+import type { SignalState } from './signalState.js'
 import type { GatewayStop } from './stop.js'
 import type { Clocks } from './storeFreshness.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
@@ -56,7 +58,7 @@
 }
 
 /** What this host knows and estimates about one backend server. */
-export type Backend = BackendRegistration & {
+export type Backend = BackendRegistration & SignalState & {
   slowUntil: number
   /** Earliest time at which it may have begun to leave; undefined while it is not leaving. */
   leavingSince: number | undefined
@@ -111,6 +113,10 @@
   backendsByAddress: Map<string, Set<string>>
   /** Instance and sequence number of the latest report of each backend server, by its id. */
   latestReports: Map<string, Pick<BackendRegistration, 'startedAt' | 'report'>>
+  /** Instances of backend servers that said in an answer that they are leaving, by id. */
+  leavingMarks: Map<string, LeavingMark>
+  /** When it was last logged that a mark of another host was not believed, by service. */
+  marksIgnoredAt: Map<string, number>
   /** When a new backend server of each service was last added. */
   listedAt: Map<string, number>
   /** Backend servers whose registration may merely have expired in a store outage, with the time at which they are removed. */
@@ -192,6 +198,8 @@
     backendsByService: new Map(),
     backendsByAddress: new Map(),
     latestReports: new Map(),
+    leavingMarks: new Map(),
+    marksIgnoredAt: new Map(),
     listedAt: new Map(),
     expiredRegistrations: new Map(),
     placement: undefined,
--- a/src/core/gateway/storeFreshness.ts
+++ b/src/core/gateway/storeFreshness.ts
@@ -2,6 +2,7 @@
 import type { GatewayState } from './state.js'
 import { minSuspensionMs } from './limits.js'
 import { findRelay } from './relaying.js'
+import { applySuspendedTime } from './signalState.js'
 
 /** Readings of both clocks at one moment, in milliseconds: the monotonic clock stops while the process is suspended, the wall clock does not. */
 export type Clocks = { now: number, wall: number }
@@ -38,6 +39,7 @@
   state.collecting.relayedAsOf -= suspendedMs
   for (const renewals of state.collecting.renewals.values()) renewals.askedAt -= suspendedMs
   state.disruptedAt = clocks.now
+  applySuspendedTime(state, suspendedMs)
 }
 
 /** Computes the age of the oldest change that the store may have acknowledged and that was not relayed to the other hosts, in milliseconds. */
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -8,6 +8,7 @@
 import { setPlacement } from './placementWriting.js'
 import { applyPlacementChange, isLaterVersion, isSameVersion } from './placementChange.js'
 import { advanceWaiting } from './requestDispatch.js'
+import { applySharedSignals } from './signalHandling.js'
 import { recordKnownAsOf } from './storeFreshness.js'
 import { applyRenewalRequest } from './delegatedRenewals.js'
 
@@ -83,5 +84,6 @@
   applyRenewalRequest(work.state, isBehind ? [] : event.load.renewals, event.reportedAt - (event.load.renewalsAgeMs ?? 0), event.load.connectMs)
   keepMemberRenewals(work.state, isBehind ? { ...event.load, memberRenewals: [] } : event.load, event.reportedAt)
   applyFleetLoad(work, event.load, event.reported)
+  applySharedSignals(work, event.load, event.reportedAt)
   applyCollectorChoice(work, event.load)
 }
--- a/src/protocol/fleetUpdate.ts
+++ b/src/protocol/fleetUpdate.ts
@@ -153,14 +153,25 @@
 }
 
 function isNegligibleChange (before: ViewEntry, entry: ViewEntry): boolean {
-  if (before.admitShare !== entry.admitShare) return false
+  if (before.admitShare !== entry.admitShare || isNewFigure(before.reported, entry.reported)) return false
   const isNegligibleInFlight = Math.max(before.inFlight, entry.inFlight) <= maxIgnoredInFlight && Math.abs(before.inFlight - entry.inFlight) <= 1
   if (before.inFlight !== entry.inFlight && !isNegligibleInFlight) return false
   return Math.abs(before.serviceMs - entry.serviceMs) <= before.serviceMs * maxIgnoredServiceTimeChange
 }
 
+/** Whether a figure tells the receiver more than the one sent before: an older one with the same values is the same one, or not worth sending. */
+function isNewFigure (before: AgedLoad | undefined, next: AgedLoad | undefined): boolean {
+  if (next === undefined) return false
+  if (before === undefined || next.ageMs < before.ageMs) return true
+  return next.running !== before.running || next.waiting !== before.waiting || next.slowdown !== before.slowdown
+}
+
 /** Applies the changes in a view to those received earlier on the stream and returns the fleet's complete load. */
 export function decodeFleetLoad (view: FleetLoadView, receivedEntries: ViewEntries): FleetLoad {
+  // A figure counts by its age in the view that it came with; it must not look fresh again with the next one.
+  for (const [id, { reported, ...entry }] of receivedEntries) {
+    if (reported !== undefined) receivedEntries.set(id, entry)
+  }
   for (const entry of view.backends) {
     const admitShare = entry.admitPermille === 0 ? 1 : entry.admitPermille / 1000
     if (entry.inFlight === 0 && entry.serviceMs === 0) receivedEntries.delete(entry.backend)
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -11,6 +11,7 @@
 import { hasValidHeaders, isFinalStatus } from '../messageHead.js'
 import { throttleReading } from '../readThrottle.js'
 import { createBackendConnections } from './backendConnections.js'
+import { decodeBackendSignals } from './backendSignals.js'
 import { openRequest } from '../requestOpening.js'
 
 /** Connect timeout, in milliseconds: several round trips between regions. */
@@ -173,6 +174,7 @@
       fail(failure)
       return
     }
+    postSignals(received, effect, options)
     readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool })
   })
 }
@@ -187,6 +189,13 @@
   }
 }
 
+/** Posts what a backend server says about itself in the head of an answer, so that it is known before the answer's own event. */
+function postSignals (response: IncomingMessage, effect: SendEffect, { wire, timers, post }: BackendSenderOptions): void {
+  const isShed = response.statusCode === 503 && response.headers[wire.headers.notRun.toLowerCase()] !== undefined
+  const signals = decodeBackendSignals({ headers: response.headers, isShed }, wire.headers)
+  if (signals !== undefined) post({ kind: 'signals-read', now: timers.clock.now(), backend: effect.backend, startedAt: effect.startedAt, signals })
+}
+
 function postStrayBytes (backend: string, options: BackendSenderOptions): void {
   options.post({ kind: 'stray-bytes-read', now: options.timers.clock.now(), backend })
 }
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -15,6 +15,8 @@
 import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeExpiryGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
+import { countPauses } from '../../core/gateway/backendPauses.js'
+import { countMarks } from '../../core/gateway/leavingMarks.js'
 import { buildLoadAnswer, countReportingHosts } from '../../core/gateway/loadExchange.js'
 import { computeWatchPauseMs, idleTickMs } from '../../core/gateway/limits.js'
 import { computeNextTickAt, isGatewayReady, reduceGateway } from '../../core/gateway/reduceGateway.js'
@@ -93,7 +95,9 @@
       gateway_store_age_ms: current.knownAsOf === -Infinity ? 0 : Math.round(clock.now() - current.knownAsOf),
       gateway_told: current.storeSource === 'told' ? 1 : 0,
       gateway_events_waiting: program.countWaiting(),
-      gateway_reporting_hosts: countReportingHosts(current)
+      gateway_reporting_hosts: countReportingHosts(current),
+      gateway_marked_backends: countMarks(current),
+      gateway_paused_backends: countPauses(current)
     }
   })
   const store = buildCountedStore(parts.store, metrics.countStoreCall)
@@ -105,7 +109,16 @@
   }
   const callerServer = createCallerServer({ timers, wire, exchanges, post, recordRefusal })
   const sender = createBackendSender({ wire, timers, post })
-  const grantClient = createGrantClient({ wire, timers, notifyStrayBytes: backend => { post({ kind: 'stray-bytes-read', now: clock.now(), backend }) } })
+  const grantClient = createGrantClient({
+    wire,
+    timers,
+    notifyStrayBytes: backend => { post({ kind: 'stray-bytes-read', now: clock.now(), backend }) },
+    notifySignals: ({ backend, address }, signals) => {
+      // A call may go to an earlier instance, to which keys were granted.
+      const known = program.getState().backends.get(backend)
+      if (known?.address === address) post({ kind: 'signals-read', now: clock.now(), backend, startedAt: known.startedAt, signals })
+    }
+  })
   const peerCredentials = settings.tls === undefined
     ? { client: credentials.createInsecure(), server: ServerCredentials.createInsecure(), readPem: undefined }
     : createPeerCredentials(settings.tls)
--- a/src/runtime/gateway/gatewayStatus.ts
+++ b/src/runtime/gateway/gatewayStatus.ts
@@ -1,4 +1,5 @@
 import type { GatewayState } from '../../core/gateway/state.js'
+import { findMark } from '../../core/gateway/leavingMarks.js'
 
 /** Builds the status of a gateway that operators see, as JSON data. */
 export function readGatewayStatus (state: GatewayState): unknown {
@@ -22,6 +23,9 @@
       service: backend.service,
       zone: backend.zone,
       leaving: backend.leaving,
+      marked: findMark(state, backend) !== undefined,
+      pausedForMs: Math.max(0, Math.round(backend.pausedUntil - state.now)),
+      reportedLoad: backend.figure === undefined ? undefined : { ...backend.figure.load, ageMs: Math.round(state.now - backend.figure.at) },
       inFlight: backend.inFlight,
       othersInFlight: backend.othersInFlight,
       serviceMs: Math.round(backend.serviceMs),
--- a/src/runtime/gateway/grantClient.ts
+++ b/src/runtime/gateway/grantClient.ts
@@ -2,11 +2,13 @@
 import type { Socket } from 'node:net'
 import type { GrantOutcome } from '../../core/gateway/events.js'
 import type { GrantConnection } from '../../core/gateway/grantConnections.js'
+import type { BackendSignals } from '../../core/gateway/model.js'
 import type { TimerService } from '../timerService.js'
 import type { EncodedCall, GatewayWire } from './ports.js'
 import { Agent } from 'node:http'
 import { isParseError, watchAnswer, watchIdleConnections } from '../answerExcess.js'
 import { splitAddress } from './backendSender.js'
+import { decodeBackendSignals } from './backendSignals.js'
 import { createKeptConnections } from './keptConnections.js'
 import { openRequest } from '../requestOpening.js'
 
@@ -30,8 +32,8 @@
   close: () => void
 }
 
-/** Options of the grant client. `notifyStrayBytes` is called with each backend server that sends bytes that are not part of an answer. */
-export type GrantClientOptions = { wire: GatewayWire, timers: TimerService, notifyStrayBytes: (backend: string) => void }
+/** Options of the grant client. `notifyStrayBytes` is called with each backend server that sends bytes that are not part of an answer, `notifySignals` with what a backend server says about itself in an answer. */
+export type GrantClientOptions = { wire: GatewayWire, timers: TimerService, notifyStrayBytes: (backend: string) => void, notifySignals?: (target: GrantTarget, signals: BackendSignals) => void }
 
 /** Creates a grant client with connections of its own. */
 export function createGrantClient (options: GrantClientOptions): GrantClient {
@@ -121,6 +123,8 @@
   })
   request.on('response', response => {
     answer = response
+    const signals = decodeBackendSignals({ headers: response.headers, isShed: false }, wire.headers)
+    if (signals !== undefined) context.notifySignals?.(target, signals)
     let bytes = 0
     response.on('data', (part: Buffer) => {
       bytes += part.length
--- a/tests/support/platform/grantBackend.ts
+++ b/tests/support/platform/grantBackend.ts
@@ -16,6 +16,9 @@
   workMs: number
   /** Minimum length of an answer, in bytes; a short text when undefined. */
   answerBytes: number | undefined
+  /** Headers added to whole answers, and to refusals. */
+  answerHeaders: Record<string, string>
+  refusalHeaders: Record<string, string>
   /** Refuses all requests as not run. */
   shed: boolean
   /** Number of next requests to refuse; each refusal is sent a second time when the next request arrives on the same connection. */
@@ -57,7 +60,7 @@
 
 /** Starts a stand-in; if `sharded`, it executes only requests for keys that it holds. */
 export async function startGrantBackend (id: string, options: { sharded: boolean, workMs?: number, port?: number }): Promise<GrantBackend> {
-  const faults: GrantBackendFaults = { workMs: options.workMs ?? 5, answerBytes: undefined, shed: false, repeatedRefusals: 0, headBytes: 0, nextRequests: [], nextGrantCalls: [], repeatsReplies: false }
+  const faults: GrantBackendFaults = { workMs: options.workMs ?? 5, answerBytes: undefined, answerHeaders: {}, refusalHeaders: {}, shed: false, repeatedRefusals: 0, headBytes: 0, nextRequests: [], nextGrantCalls: [], repeatsReplies: false }
   const runs: Run[] = []
   const canceled: string[] = []
   const floods: Flood[] = []
@@ -108,7 +111,7 @@
     const common = { 'request-id': requestId }
     const refuse = (status: number) => {
       refused += 1
-      response.writeHead(status, { ...common, 'not-executed': '1', 'content-length': 0 })
+      response.writeHead(status, { ...common, ...faults.refusalHeaders, 'not-executed': '1', 'content-length': 0 })
       response.end()
     }
     if (request.headers['target-instance'] !== undefined && request.headers['target-instance'] !== id) return refuse(421)
@@ -189,7 +192,7 @@
       case undefined:
       case 'wrong-id':
       case 'early': {
-        response.writeHead(200, { 'request-id': fault === 'wrong-id' ? 'other' : requestId, 'response-stamp': id, 'content-length': text.length })
+        response.writeHead(200, { ...faults.answerHeaders, 'request-id': fault === 'wrong-id' ? 'other' : requestId, 'response-stamp': id, 'content-length': text.length })
         response.end(text)
         return
       }
