Emulator: backend servers with noise that report their load; what reports gain

Cause: nothing showed whether the weights of reported load help under load, and how they do when a host is lost or cut off.

--- a/spec/gateway/trafficScenario.ts
+++ b/spec/gateway/trafficScenario.ts
@@ -9,6 +9,9 @@
 /** Time for the hosts to start before traffic begins, in milliseconds. */
 export const startupMs = 5000
 
+/** Time between two changes of the noise of backend servers, in milliseconds. */
+const noisePeriodMs = 400
+
 /** A scenario of keyed reads at a sharded service and orders at a plain service, in virtual time. */
 export type TrafficScenario = {
   seed: number
@@ -30,6 +33,10 @@
   hot?: { at: number, forMs: number, share: number, keys: number }
   /** A factor on the rate of reads for a while; `at` is in milliseconds after the start of traffic. */
   burst?: { at: number, forMs: number, factor: number }
+  /** Load reports of the backend servers; none if undefined. */
+  loadReports?: GatewayWorld['loadReports']
+  /** Whether one backend server in five has noise: a factor of up to 3 on its service time that is drawn anew every 400 ms. */
+  hasNoise?: boolean
   /** Faults to inject; `at` is in milliseconds after the start of traffic. */
   faults?: Array<{ at: number, run: (world: GatewayWorld) => void }>
   rules: GatewayRules
@@ -49,6 +56,8 @@
   world.workMs = () => scenario.workMs * (0.6 + uniformFloat64(random) * 0.8)
   for (let index = 0; index < scenario.shards; index++) addBackend(world, buildRegistration('shards', index), slownessFactors[index % slownessFactors.length])
   for (let index = 0; index < scenario.plain; index++) addBackend(world, buildRegistration('plain', index), slownessFactors[index % slownessFactors.length])
+  world.loadReports = scenario.loadReports ?? 'none'
+  if (scenario.hasNoise === true) updateNoise(world)
   const reads = buildFigures()
   const orders = buildFigures()
   const bySecond = Array.from({ length: Math.ceil(scenario.lengthMs / 1000) }, buildFigures)
@@ -96,6 +105,12 @@
   return { reads, orders, bySecond, moves: world.moves, calls: Math.round(world.store.callCount), violations: world.violations, busiest, world }
 }
 
+/** Updates the noise of one backend server in five, and again every 400 ms. */
+function updateNoise (world: GatewayWorld): void {
+  [...world.backends.values()].forEach((backend, index) => { backend.noise = index % 5 === 0 ? 1 + uniformFloat64(world.random) * 2 : 1 })
+  scheduleIn(world.queue, noisePeriodMs, () => updateNoise(world))
+}
+
 function buildFigures (): TrafficFigures {
   return { asked: 0, inTarget: 0, late: 0, refused: 0, failed: 0 }
 }
--- a/spec/gateway/virtualBackend.ts
+++ b/spec/gateway/virtualBackend.ts
@@ -17,6 +17,8 @@
   process: number
   /** Factor on the service time. */
   slowness: number
+  /** Factor on the service time at this moment, in addition; 1 without noise on its machine. */
+  noise: number
   /** Share of requests that it sheds although it could run them. */
   shedShare: number
   grants: HeldGrant[]
@@ -32,7 +34,7 @@
 
 /** Builds a backend server without grants. */
 export function buildVirtualBackend (registration: BackendRegistration, slowness: number): VirtualBackend {
-  return { registration, state: 'up', process: 1, slowness, shedShare: 0, grants: [], seenFences: [], running: [], queued: [], busyMs: 0, startedCount: 0 }
+  return { registration, state: 'up', process: 1, slowness, noise: 1, shedShare: 0, grants: [], seenFences: [], running: [], queued: [], busyMs: 0, startedCount: 0 }
 }
 
 /** Restarts a backend server in place: it forgets its grants, fencing tokens and work. */
@@ -98,7 +100,7 @@
   if (work.key !== undefined) onStart(work.key)
   backend.running.push(work)
   backend.startedCount += 1
-  const ms = work.ms * backend.slowness
+  const ms = work.ms * backend.slowness * backend.noise
   backend.busyMs += ms
   scheduleIn(queue, ms, () => {
     backend.running = backend.running.filter(other => other !== work)
--- a/spec/gateway/virtualEffects.ts
+++ b/spec/gateway/virtualEffects.ts
@@ -219,6 +219,15 @@
   }
 }
 
+/** Reports a backend server's load with an answer. */
+function postLoad (world: GatewayWorld, host: VirtualHost, backend: VirtualBackend, hasRun: boolean): void {
+  if (world.loadReports === 'none') return
+  const { registration, running, queued, noise } = backend
+  const answered = hasRun && world.loadReports === 'with-answered' ? 1 : 0
+  const load = { running: running.length + answered, waiting: queued.length, slots: registration.slots, slowdown: noise }
+  postLater(world, host, linkDelayMs, { kind: 'signals-read', now: 0, backend: registration.id, startedAt: registration.startedAt, signals: { isLeaving: false, pauseMs: undefined, coldMs: undefined, load } })
+}
+
 function sendWork (world: GatewayWorld, host: VirtualHost, effect: Extract<GatewayEffect, { kind: 'send' }>): void {
   const pending = world.pending.get(effect.id)
   const backend = findBackend(world, host, effect.address)
@@ -242,6 +251,7 @@
     ms: world.workMs(),
     isCanceled: false,
     done: (status: 'ran' | 'not-run' | 'fenced') => {
+      postLoad(world, host, backend, status === 'ran')
       postLater(world, host, linkDelayMs, status === 'ran'
         ? { kind: 'answer-whole', ...common, status: 200, firstByteAt: world.queue.now }
         : { kind: 'not-run-answered', ...common, status: status === 'fenced' ? 421 : 503 })
--- a/spec/gateway/virtualGateways.ts
+++ b/spec/gateway/virtualGateways.ts
@@ -33,6 +33,7 @@
     lateGrantShare: 0,
     grantAnswerDelayMs: 0,
     lateStoreCallShare: 0,
+    loadReports: 'none',
     workMs: () => 75,
     interpret
   }
--- a/spec/gateway/virtualWorld.ts
+++ b/spec/gateway/virtualWorld.ts
@@ -74,6 +74,8 @@
   grantAnswerDelayMs: number
   /** Share of the calls that change the store that are applied late and not answered. */
   lateStoreCallShare: number
+  /** Whether backend servers report their load with answers, and whether a figure contains the request that is answered. */
+  loadReports: 'none' | 'with-answered' | 'without-answered'
   /** Draws the service time of a request, in milliseconds. */
   workMs: () => number
   /** Applies an effect of a host's reducer; replaced by scenarios that observe or alter effects. */
