--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -3,6 +3,7 @@
 import type { GatewayRequest, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { recordColdRefusal } from './coldAdmission.js'
+import { computePauseRetryMs } from './backendPauses.js'
 
 /** Shortest time after which a refused caller is asked to retry, in milliseconds. */
 const minRetryMs = 40
@@ -35,7 +36,7 @@
   if (reason === 'backend-cold') recordColdRefusal(state, request)
   state.requests.delete(request.id)
   state.waiting.delete(request.id)
-  const retryAfterMs = lastingReasons.has(reason) ? computeLastingRetryMs(work, waitMs) : computeRetryAfterMs(work, request, waitMs)
+  const retryAfterMs = chooseRetryAfterMs(work, request, reason, waitMs)
   work.effects.push({ kind: 'refuse', id: request.id, reason, status: 503, retryAfterMs })
   work.effects.push({ kind: 'count-refusal', reason, outcome: 'not-run' })
   work.effects.push({
@@ -58,6 +59,11 @@
   })
 }
 
+function chooseRetryAfterMs (work: GatewayWork, request: GatewayRequest, reason: RefusalReason, waitMs: number): number {
+  if (reason === 'backend-paused') return computePauseRetryMs(work.state, waitMs)
+  return lastingReasons.has(reason) ? computeLastingRetryMs(work, waitMs) : computeRetryAfterMs(work, request, waitMs)
+}
+
 /** Computes a random retry time, in milliseconds: retries are spread over the time in which a slot is likely to become free and the target can still be met. */
 function computeRetryAfterMs (work: GatewayWork, request: GatewayRequest, waitMs: number): number {
   const { state } = work
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -6,7 +6,9 @@
 import type { GatewayEffect } from './effects.js'
 import type { Evacuations } from './evacuation.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, Placement, PlacementVersion } from './model.js'
+import type { LeavingMark } from './leavingMarks.js'
 import type { RenewalState } from './renewalState.js'
+import type { SignalState } from './signalState.js'
 import type { GatewayStop } from './stop.js'
 import type { Clocks } from './storeFreshness.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
@@ -64,7 +66,7 @@
 }
 
 /** What this host knows and estimates about one backend server. */
-export type Backend = BackendRegistration & {
+export type Backend = BackendRegistration & SignalState & {
   /** Until when it is slow after its start, and cold if its service limits the requests of cold servers. */
   slowUntil: number
   /** Time before which a registration does not end that: it may have been written before this host learned that the server is cold. */
@@ -122,6 +124,10 @@
   backendsByAddress: Map<string, Set<string>>
   /** Instance and sequence number of the latest report of each backend server, by its id. */
   latestReports: Map<string, Pick<BackendRegistration, 'startedAt' | 'report'>>
+  /** Instances of backend servers that said in an answer that they are leaving, by id. */
+  leavingMarks: Map<string, LeavingMark>
+  /** When it was last logged that a mark of another host was not believed, by service. */
+  marksIgnoredAt: Map<string, number>
   /** When a new backend server of each service was last added. */
   listedAt: Map<string, number>
   /** Backend servers whose registration may merely have expired in a store outage, with the time at which they are removed. */
@@ -205,6 +211,8 @@
     backendsByService: new Map(),
     backendsByAddress: new Map(),
     latestReports: new Map(),
+    leavingMarks: new Map(),
+    marksIgnoredAt: new Map(),
     listedAt: new Map(),
     expiredRegistrations: new Map(),
     evacuations: buildEvacuations(),
--- a/src/core/gateway/storeFreshness.ts
+++ b/src/core/gateway/storeFreshness.ts
@@ -3,6 +3,7 @@
 import { dropColdShares } from './coldAdmission.js'
 import { minSuspensionMs } from './limits.js'
 import { findRelay } from './relaying.js'
+import { applySuspendedTime } from './signalState.js'
 
 /** Readings of both clocks at one moment, in milliseconds: the monotonic clock stops while the process is suspended, the wall clock does not. */
 export type Clocks = { now: number, wall: number }
@@ -45,6 +46,7 @@
   state.granting.coldDealing.suspendedAt = clocks.now
   dropColdShares(state, clocks.now)
   state.disruptedAt = clocks.now
+  applySuspendedTime(state, suspendedMs)
 }
 
 /** Computes the age of the oldest change that the store may have acknowledged and that was not relayed to the other hosts, in milliseconds. */
--- a/src/core/gateway/storeSource.ts
+++ b/src/core/gateway/storeSource.ts
@@ -11,6 +11,7 @@
 import { setPlacement } from './placementWriting.js'
 import { applyPlacementChange, isLaterVersion, isSameVersion } from './placementChange.js'
 import { advanceWaiting } from './requestDispatch.js'
+import { applySharedSignals } from './signalHandling.js'
 import { recordKnownAsOf } from './storeFreshness.js'
 import { applyRenewalRequest } from './delegatedRenewals.js'
 
@@ -89,5 +90,6 @@
   applyColdMarks(work, event.load.marks)
   applyColdShares(work.state, event.load.coldShares, event.reportedAt)
   keepMemberColdShares(work.state, event.load, event.reportedAt)
+  applySharedSignals(work, event.load, event.reportedAt)
   applyCollectorChoice(work, event.load)
 }
