Shedding by cost: priority, lateness and work decide what is refused

Cause: under overload a fixed share of slots (0.75 for 2 s) was kept for higher priorities, whatever the deadlines and the work. In a test at twice the capacity of a server lookups were served in 31% of the cases and uploads in 71%.

Change: overloadPolicy.ts computes what a refusal costs callers for each millisecond of a slot. After a refusal for want of capacity, requests that cost less fill a part of the slots in proportion for 2 s; every fourth of each route is exempt. Requests that waited for an owner are placed by cost.

--- a/src/core/gateway/admission.ts
+++ b/src/core/gateway/admission.ts
@@ -1,6 +1,7 @@
 import type { Backend, GatewayRequest, GatewayState } from './state.js'
 import { loadMaxAgeMs, queueAllowance, targetShare } from './limits.js'
 import { countInFlight } from './loadTotals.js'
+import { computeSlotLimit } from './overloadPolicy.js'
 
 /** Growth of this host's requests in flight since the last load exchange that is ignored; growth beyond it is taken as growth at other hosts too. */
 const ignoredGrowth = 1
@@ -10,10 +11,6 @@
 const maxInferredGrowth = 4.5
 /** Upper bound of the requests at all other hosts that each request here stands for while their load is unknown. */
 const maxInferredInFlight = 5.5
-/** Share of the slots that lower-priority requests may fill while higher-priority ones are short of capacity. */
-const lowerPriorityShare = 0.75
-/** Time after a refusal for which its priority counts as short of capacity, in milliseconds. */
-const shortageWindowMs = 2000
 /** Factor by which the service time of a backend server is multiplied just after its start. */
 const coldStartSlowdown = 2
 
@@ -40,10 +37,10 @@
 
 /**
  * Decides whether a request may be sent to a backend server now. Under overload, the queue
- * stays short enough for answers within the target time, and lower-priority requests leave
- * slots to higher-priority ones. A request past its target time is given free slots only.
+ * stays short enough for answers within the target time, and requests that cost callers less to lose leave
+ * slots to those that cost more. A request past its target time is given free slots only.
  */
-export function admitRequest (state: GatewayState, request: GatewayRequest, backend: Backend): Admission {
+export function admitRequest (state: GatewayState, request: GatewayRequest, backend: Backend, computeLimit = computeSlotLimit): Admission {
   const inFlight = estimateInFlight(state, backend)
   const serviceMs = estimateServiceMs(state, backend)
   const waitMs = estimateWaitMs(state, backend)
@@ -52,21 +49,8 @@
   if (inFlight + 1 > backend.slots + queueAllowance) return refuse
   if (state.now + expectedMs > request.deadlineAt) return waitMs === 0 && backend.inFlight === 0 ? { kind: 'admit', expectedMs } : refuse
   const hasFreeSlot = inFlight + 1 <= backend.slots
-  if (isLimitedByPriority(state, request, backend) && inFlight + 1 > backend.slots * lowerPriorityShare) return refuse
+  if (inFlight + 1 > computeLimit(state, request, backend, serviceMs)) return refuse
   if (hasFreeSlot) return { kind: 'admit', expectedMs }
   const toTargetMs = (request.targetAt - state.now) * targetShare
   return expectedMs <= toTargetMs ? { kind: 'admit', expectedMs } : refuse
 }
-
-/** Whether a higher-priority request was recently refused here; while there is capacity for all requests, priorities are ignored. */
-function isLimitedByPriority (state: GatewayState, request: GatewayRequest, backend: Backend): boolean {
-  for (const [priority, at] of backend.lastRefusedAt) {
-    if (priority < request.route.priority && state.now - at < shortageWindowMs) return true
-  }
-  return false
-}
-
-/** Records that a backend server had no capacity for a request. */
-export function recordShortage (state: GatewayState, request: GatewayRequest, backend: Backend): void {
-  backend.lastRefusedAt.set(request.route.priority, state.now)
-}
--- a/src/core/gateway/answers.ts
+++ b/src/core/gateway/answers.ts
@@ -3,6 +3,7 @@
 import type { GatewayRules } from './rules.js'
 import type { Backend, GatewayRequest, GatewayWork } from './state.js'
 import { loadMaxAgeMs, ownerWaitMs, shedAvoidanceMs, unreachableAvoidanceMs } from './limits.js'
+import { recordRouteWork } from './overloadPolicy.js'
 import { holdRequest, placeRequest } from './requestDispatch.js'
 import { failRequest, refuseRequest } from './refusals.js'
 import { takeRetryToken } from './retryBudget.js'
@@ -120,7 +121,7 @@
   if (ended === undefined) return
   const { request, backend } = ended
   if (request.phase === 'sent') work.effects.push({ kind: 'deliver', id: event.id, attempt: event.attempt })
-  if (backend !== undefined) addServiceTimeSample(work, backend, event.now - request.sentAt, request.inFlightAtSend)
+  if (backend !== undefined) addServiceTimeSample(work, request, backend, event.now - request.sentAt)
   finishRequest(work, request, backend?.id, event.status)
 }
 
@@ -141,13 +142,14 @@
   failRequest(work, request, 'backend-failed', 502)
 }
 
-function addServiceTimeSample (work: GatewayWork, backend: Backend, answerMs: number, inFlight: number): void {
+function addServiceTimeSample (work: GatewayWork, request: GatewayRequest, backend: Backend, answerMs: number): void {
   // Without the load of the other hosts, time spent in the queue can't be told from service time.
   if (work.state.now - work.state.loadReadAt > loadMaxAgeMs && work.state.hosts > 1) return
-  const share = Math.max(1, inFlight / backend.slots)
+  const share = Math.max(1, request.inFlightAtSend / backend.slots)
   const serviceMs = answerMs / share
   backend.serviceMs += (serviceMs - backend.serviceMs) * Math.max(sampleWeight, 1 / (backend.sampleCount + 2))
   backend.sampleCount += 1
+  recordRouteWork(work.state, request, serviceMs)
   backend.answeredSinceReport += 1
   backend.serviceMsSinceReport += serviceMs
 }
--- a/src/core/gateway/backends.ts
+++ b/src/core/gateway/backends.ts
@@ -87,7 +87,7 @@
     leavingSince: registration.leaving ? computeEarliestLeavingAt(state) : undefined,
     inFlight: 0,
     othersInFlight: 0,
-    lastRefusedAt: new Map(),
+    shortage: undefined,
     inFlightAtReport: 0,
     serviceMs: state.placement?.memory.serviceMs.get(registration.id) ?? computeMeanServiceMs(work, registration.service),
     sampleCount: 0,
--- a/src/core/gateway/requestDispatch.ts
+++ b/src/core/gateway/requestDispatch.ts
@@ -3,12 +3,13 @@
 import type { GatewayRules } from './rules.js'
 import type { Backend, GatewayRequest, GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { estimateInFlight, estimateWaitMs, recordShortage } from './admission.js'
+import { estimateInFlight, estimateServiceMs, estimateWaitMs } from './admission.js'
 import { checkEligibility } from './backendEligibility.js'
 import { recordColdSend } from './coldAdmission.js'
 import { scheduleEarlyReport } from './loadExchange.js'
 import { computeLastSendAt } from './backends.js'
 import { ownerWaitMs } from './limits.js'
+import { listByCost, recordShortage, takeExemption } from './overloadPolicy.js'
 import { refuseRequest, refuseUnrouted } from './refusals.js'
 import { addRetryTokens } from './retryBudget.js'
 import { chooseService, findRange, findRoute } from './routing.js'
@@ -64,6 +65,7 @@
     attempt: 0,
     backend: undefined,
     tried: [],
+    isExempt: takeExemption(state, route.name),
     sentAt: 0,
     inFlightAtSend: 0
   }
@@ -110,7 +112,7 @@
 }
 
 function refuseFull (work: GatewayWork, request: GatewayRequest, refusing: readonly Backend[], waitMs: number): void {
-  for (const backend of refusing) recordShortage(work.state, request, backend)
+  for (const backend of refusing) recordShortage(work.state, request, backend, estimateServiceMs(work.state, backend))
   refuseRequest(work, request, 'queue-full', waitMs)
 }
 
@@ -153,11 +155,11 @@
 /** Retries the requests that wait for an owner: all of them, or those for keys whose ranges changed. */
 export function advanceWaiting (work: GatewayWork, rules: GatewayRules, changed?: ChangedKeys): void {
   if (work.state.waiting.size === 0) return
-  for (const id of [...work.state.waiting]) {
-    const request = work.state.requests.get(id)
-    if (request !== undefined && changed !== undefined && !isChanged(request, changed)) continue
-    work.state.waiting.delete(id)
-    if (request !== undefined) placeRequest(work, request, rules)
+  const due = [...work.state.waiting].flatMap(id => work.state.requests.get(id) ?? []).filter(request => changed === undefined || isChanged(request, changed))
+  // An owner of keys that were on their way may have too little room for all that waited.
+  for (const request of listByCost(work.state, due)) {
+    work.state.waiting.delete(request.id)
+    placeRequest(work, request, rules)
   }
 }
 
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -6,6 +6,7 @@
 import type { GatewayEffect } from './effects.js'
 import type { Evacuations } from './evacuation.js'
 import type { BackendRegistration, Configuration, GatewayRoute, GrantingHost, GrantingRecord, Placement, PlacementVersion } from './model.js'
+import type { Shortage } from './overloadPolicy.js'
 import type { RenewalState } from './renewalState.js'
 import type { GatewayStop } from './stop.js'
 import type { Clocks } from './storeFreshness.js'
@@ -58,6 +59,8 @@
   attempt: number
   backend: string | undefined
   tried: string[]
+  /** Whether it is admitted by capacity alone while others of its route leave slots to more costly requests. */
+  isExempt?: boolean
   sentAt: number
   /** Requests in flight at the backend server when this one was sent, including itself. */
   inFlightAtSend: number
@@ -84,8 +87,8 @@
   avoidUntil: number
   /** Share of the requests for its keys that may be sent to it; below 1 while it is overloaded. */
   admitShare: number
-  /** When a request of each priority was last refused here for lack of capacity. */
-  lastRefusedAt: Map<number, number>
+  /** The most costly recent refusal here for want of capacity. */
+  shortage: Shortage | undefined
   /** Time until which connections to it are not reused, after it sent bytes that belong to no request, or an invalid answer. */
   noReuseUntil: number
   answeredSinceReport: number
@@ -163,6 +166,10 @@
   /** Longest caller timeout seen for each route; a shorter timeout means that the caller is retrying. */
   longestTimeout: Map<string, number>
   retryTokens: Map<string, number>
+  /** Smoothed time for which a request of each route occupies a slot, by the route's name, in milliseconds. */
+  routeWorkMs: Map<string, number>
+  /** Requests of each route since the last one that was exempt from shedding by cost. */
+  exemptionTurns: Map<string, number>
   keyCounts: Map<string, Map<number, number>>
   reportAt: number
   reportedAt: number
@@ -230,6 +237,8 @@
     dropFencesAt: now,
     longestTimeout: new Map(),
     retryTokens: new Map(),
+    routeWorkMs: new Map(),
+    exemptionTurns: new Map(),
     keyCounts: new Map(),
     reportAt: now,
     reportedAt: now,
