A store restored from an older copy: joined revisions, a granting host that waits

Cause: after a restore the store gives out revisions and leases again, and what the gateways wrote since the copy is lost. Revisions that go back would be ignored, preconditions could match other writes, and a new granting host would grant keys and fencing tokens from an outdated placement.

Change: the store client joins the era of each answer (Store-Era) with revisions and leases into numbers that only grow; those of an earlier era are not sent. A granting host that learns of a restore stops at once. Placements that are older by content are not taken, and versions of the configuration do not go back. Without the header, all numbers and calls are as before.

--- a/src/core/gateway/collecting.ts
+++ b/src/core/gateway/collecting.ts
@@ -69,6 +69,7 @@
     answers.set(id, { answered: answered + (known?.answered ?? 0), serviceMsSum: serviceMsSum + (known?.serviceMsSum ?? 0) })
   }
   for (const { service, keys, counts } of report.keys) addKeyCounts(keyCounts, service, keys, counts)
+  state.knownNextFence = Math.max(state.knownNextFence, report.nextFence ?? 0)
   const { host, zone, placement, granting, renewed, address, processorShare } = report
   members.set(host, { report: { host, zone, placement, granting, renewed, address, processorShare, ageMs: 0 }, receivedAt: now })
 }
--- a/src/core/gateway/effects.ts
+++ b/src/core/gateway/effects.ts
@@ -26,6 +26,8 @@
   backendReportIgnored: 4113,
   changeLags: 4114,
   collectorChanged: 4115,
+  storeRestored: 4130,
+  placementRefused: 4131,
   leadershipWon: 4201,
   leadershipLost: 4202,
   leadershipDoubted: 4203,
@@ -36,6 +38,9 @@
   grantFenced: 4208,
   grantConnectionsChanged: 4209,
   predecessorStopped: 4210,
+  grantingDelayed: 4230,
+  placementTakenOver: 4231,
+  grantingRecovered: 4232,
   gatewayStopping: 4301
 } as const
 
@@ -73,6 +78,8 @@
   | { kind: 'report-load', address: string, report: LoadReport, inFlight: Map<string, number> }
   /** Notifies a previous granting host, which may not have stopped, that it was replaced. */
   | { kind: 'notify-predecessor', address: string, report: LoadReport }
+  /** Requests the whole placement that another host knows. */
+  | { kind: 'request-placement', address: string, report: LoadReport }
   | { kind: 'publish-placement', change: PlacementChange, host: string | undefined }
   | { kind: 'watch-store', isOn: boolean }
   /** Relays the store's changes to the hosts that report to this one. */
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -150,6 +150,8 @@
   | { kind: 'changes-told', now: number, receivedRevision: number, revision: number }
   /** All changes that the store had acknowledged by `asOf` are known here: its answer to a call that began then has been applied. */
   | { kind: 'store-known', now: number, asOf: number }
+  /** The store was restored from an older copy; `restores` counts how often that has happened. */
+  | { kind: 'store-restored', now: number, restores: number }
   /** `reachableAt`: latest time at which the store is known to have been reachable. */
   | { kind: 'store-lost', now: number, reachableAt: number }
   | { kind: 'leadership-claimed', now: number, outcome: WriteOutcome, lease: number, revision: number }
@@ -162,6 +164,8 @@
   /** `reported`: requests in flight in the report that this answers; `reportedAt`: when that report was sent. */
   | { kind: 'fleet-load-read', now: number, load: FleetLoad, reported: Map<string, number>, reportedAt: number }
   | { kind: 'placement-changed', now: number, change: PlacementChange }
+  /** A host answered the request for its placement. */
+  | { kind: 'placement-found', now: number, change: PlacementChange }
   /** `address`: address of the host with which the exchange ended. */
   | { kind: 'exchange-ended', now: number, address?: string }
   /** The process must end within `graceMs` milliseconds. */
--- a/src/core/gateway/granting.ts
+++ b/src/core/gateway/granting.ts
@@ -1,7 +1,7 @@
 import type { GatewayRules } from './rules.js'
 import type { GatewayWork } from './state.js'
 import { updateGrantConnection } from './grantConnections.js'
-import { addFirstGrant, buildManagedGrant, isTargetReplaceable, mergeNeighbours, replaceTarget, startMove } from './grantChanges.js'
+import { addFirstGrant, buildManagedGrant, isTargetReplaceable, mergeNeighbours, replaceTarget, startMove, takeFence } from './grantChanges.js'
 import { advanceGrant } from './grantSteps.js'
 import { balanceMs, blockedRoundMs, maxSettleMs, mildRoundMs, maxRenewalsPerTick, settleMs, consolidationMs } from './limits.js'
 import { isAllowedToRenew, isAllowedToMoveKeys } from './leadership.js'
@@ -10,16 +10,28 @@
 import { writePlacement } from './placementWriting.js'
 import { planInitial } from './planner.js'
 import { chooseRenewers } from './renewerAssignment.js'
+import { advanceRecovery } from './restoredStore.js'
 import { findRange } from './routing.js'
+import { computeFirstFence, isPlacementOutdated, isRecovering } from './storeRestores.js'
 
 /** Loads the grants from the stored placement after this host has become the leader. */
 export function loadGrants (work: GatewayWork): void {
   const { granting, placement, now } = work.state
   if (granting.isLoaded || !isAllowedToRenew(work)) return
   granting.isLoaded = true
-  granting.nextFence = placement?.nextFence ?? 1
+  granting.nextFence = computeFirstFence(work.state)
+  const isRestored = isPlacementOutdated(work.state)
+  if (isRestored) {
+    granting.isDirty = true
+    work.effects.push({ kind: 'log', event: 'grantingRecovered', fields: { restores: work.state.restores, continued: granting.isContinuing, nextFence: granting.nextFence } })
+  }
   for (const [service, ranges] of placement?.services ?? []) {
     for (const range of ranges) {
+      if (isRestored && !granting.isContinuing) {
+        // All earlier grants have expired, but later ones than those of this placement may have been given out: the owners get new fencing tokens.
+        granting.grants.push(buildManagedGrant(service, { ...range, fence: takeFence(work), phase: 'moving', previous: undefined }, 'release', now))
+        continue
+      }
       const grant = buildManagedGrant(service, { ...range }, range.phase === 'held' ? 'renew' : 'release', now)
       // The previous granting host may have granted the keys to their next owner and ended before it announced that.
       if (range.phase === 'moving') grant.targetLatestArrivalAt = now
@@ -32,6 +44,7 @@
 export function advanceGranting (work: GatewayWork, rules: GatewayRules): void {
   if (!isAllowedToRenew(work)) return
   updateGrantConnection(work)
+  if (isRecovering(work.state)) return advanceRecovery(work)
   loadGrants(work)
   updateAdmitShares(work)
   if (isAllowedToMoveKeys(work)) {
--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -80,6 +80,17 @@
   grantConnection: GrantConnection
   /** Whether this host has begun to record in the store that all predecessors have stopped. */
   isPredecessorStopRecorded: boolean
+  /** Until when it grants nothing if the store was restored from an older copy since the placement was written; `-Infinity` if it knows all grants. */
+  recoverUntil: number
+  /** Whether this host was the last granting host before such a restore, as far as it knows, so that it knows all grants. */
+  isContinuing: boolean
+  /** Hosts that may have been the granting host before such a restore; `undefined` if this host did not know the fleet. */
+  hostsToHearFrom: { count: number, last: GrantingHost | undefined } | undefined
+  /** Hosts that reported that they know this granting host. */
+  awareHosts: Set<string>
+  /** When it may next request the placement of a host that knows a newer one than the store. */
+  requestPlacementAt: number
+  isRecoveryLogged: boolean
   grants: ManagedGrant[]
   /** Results of the last lookups, by service and first key; each use verifies that the entry still matches. */
   grantLookupCache: Map<string, Map<number, ManagedGrant>>
@@ -161,6 +172,12 @@
     grantConnection: 'any',
     isPredecessorStopRecorded: false,
     predecessorsActiveUntil: 0,
+    recoverUntil: -Infinity,
+    isContinuing: false,
+    hostsToHearFrom: undefined,
+    awareHosts: new Set(),
+    requestPlacementAt: now,
+    isRecoveryLogged: false,
     grants: [],
     grantLookupCache: new Map(),
     isLoaded: false,
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -2,12 +2,13 @@
 import type { GrantingHost } from './model.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { largeHostProcessorShare, resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, smallHostDelayMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs } from './limits.js'
+import { largeHostProcessorShare, resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, smallHostDelayMs, maxHoldMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs, renewalValidityMs, restoredClaimDelayMs } from './limits.js'
 import { buildNotice, notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
 import { sendPlacementChange } from './publishing.js'
 import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
+import { countRestores, isRecovering } from './storeRestores.js'
 
 /** Timeout of an unanswered claim, in milliseconds: longer than the delays of the store. */
 const claimTimeoutMs = 4000
@@ -40,7 +41,7 @@
     granting.claimAt = undefined
     return
   }
-  granting.claimAt ??= now + uniformFloat64(state.random) * claimJitterMs + (state.identity.processorShare < largeHostProcessorShare ? smallHostDelayMs : 0)
+  granting.claimAt ??= now + uniformFloat64(state.random) * claimJitterMs + (state.identity.processorShare < largeHostProcessorShare ? smallHostDelayMs : 0) + computeRestoredDelayMs(state)
   if (now < granting.claimAt) return
   granting.claimAt = undefined
   granting.role = 'claiming'
@@ -53,6 +54,12 @@
   work.effects.push({ kind: 'claim-leadership', ttlMs: leadershipTtlMs, record, lastRevision: state.lastGranting?.revision ?? 0 })
 }
 
+/** Computes the additional delay of a claim after a restore of the store, in milliseconds: the last granting host, which knows all grants, claims first. */
+function computeRestoredDelayMs (state: GatewayState): number {
+  if (state.now - state.restoredAt > leadershipTtlMs) return 0
+  return state.ledUntilRestore?.restores === state.restores ? 0 : restoredClaimDelayMs
+}
+
 function hasShardedService (work: GatewayWork): boolean {
   for (const service of work.state.configuration?.services.values() ?? []) {
     if (service.sharded) return true
@@ -98,12 +105,18 @@
   const { state } = work
   const { granting } = state
   if (granting.role !== 'claiming') return
-  if (event.outcome !== 'written') {
+  const restores = countRestores(event.revision)
+  if (event.outcome !== 'written' || restores < state.restores) {
     granting.role = 'follower'
     if (event.outcome === 'unknown') work.effects.push({ kind: 'read-store' })
     return
   }
-  const { activePredecessors, hasPossiblePredecessors } = granting
+  state.restores = restores
+  const continued = findContinued(state, event.now)
+  const activePredecessors = continued?.activePredecessors ?? granting.activePredecessors
+  const predecessorsActiveUntil = continued?.predecessorsActiveUntil ?? event.now + maxStoreOutageMs
+  // The record of an earlier granting host may have been lost in a restore of the store.
+  const hasPossiblePredecessors = continued === undefined ? granting.hasPossiblePredecessors || isPlacementLost(state, restores) : predecessorsActiveUntil > event.now
   state.granting = {
     ...buildGrantingState(event.now),
     role: 'leading',
@@ -120,8 +133,13 @@
     relayedAsOf: state.knownAsOf,
     activePredecessors,
     hasPossiblePredecessors,
-    predecessorsActiveUntil: hasPossiblePredecessors ? event.now + maxStoreOutageMs : event.now
+    predecessorsActiveUntil: hasPossiblePredecessors ? predecessorsActiveUntil : event.now,
+    recoverUntil: continued?.isCertain !== true && restores > 0 ? event.now + maxStoreOutageMs + renewalValidityMs + maxHoldMs : -Infinity,
+    isContinuing: continued !== undefined,
+    hostsToHearFrom: state.loadReadAt === -Infinity ? undefined : { count: Math.max(state.hosts, state.placement?.memory.hosts ?? 1), last: state.formerGrantingHost }
   }
+  // The other hosts take no placement that may be older than theirs.
+  if (isRecovering(state)) state.granting.published = undefined
   // The hosts that reported to this one as a collector now report to it as the granting host.
   state.collecting = buildCollectingState(event.now)
   state.collector = undefined
@@ -129,6 +147,18 @@
   work.effects.push({ kind: 'log', event: 'leadershipWon', fields: { lease: event.lease, revision: event.revision } })
 }
 
+/** Finds what this host knew when the store was restored, if it was the granting host until then and no other one can have begun to grant since. */
+function findContinued (state: GatewayState, now: number): GatewayState['ledUntilRestore'] {
+  const { ledUntilRestore } = state
+  // Any other host that won in between would still be waiting for unknown grants to expire.
+  return ledUntilRestore?.restores === state.restores && now - ledUntilRestore.at < renewalValidityMs + maxHoldMs ? ledUntilRestore : undefined
+}
+
+/** Whether the store was restored since the known placement was written. */
+function isPlacementLost ({ placement }: GatewayState, restores: number): boolean {
+  return restores > (placement?.restores ?? 0)
+}
+
 /** Lists previous granting hosts that may not have stopped. This host is left out: its earlier processes and leases have ended. */
 function listActivePredecessors (state: GatewayState): GrantingHost[] {
   const { lastGranting, identity } = state
@@ -178,6 +208,7 @@
   const { state } = work
   if (event.revision < state.grantingRevision) return
   const isChange = event.granting?.host !== state.grantingHost?.host || event.granting?.address !== state.grantingHost?.address
+  if (isChange && state.grantingHost !== undefined) state.formerGrantingHost = state.grantingHost
   state.grantingRevision = event.revision
   state.grantingHost = event.granting
   if (isChange) state.reportAt = state.now
--- a/src/core/gateway/limits.ts
+++ b/src/core/gateway/limits.ts
@@ -63,6 +63,8 @@
 export const forgottenHostMs = 60_000
 /** Upper bound of the random delay before a host claims leadership, in milliseconds: hosts should not all claim at once. */
 export const claimJitterMs = 120
+/** Additional delay of a claim after a restore of the store by hosts that were not the granting host before it, in milliseconds: two reads of the whole store. */
+export const restoredClaimDelayMs = 400
 /** Processor share, in cores, from which a host claims leadership without an additional delay: granting takes about a third of a core for 150 owners. */
 export const largeHostProcessorShare = 0.5
 /** Additional delay of hosts with a smaller share, in milliseconds: larger hosts have claimed by then, if there are any. */
--- a/src/core/gateway/loadExchange.ts
+++ b/src/core/gateway/loadExchange.ts
@@ -13,6 +13,7 @@
 import { listMemberRenewals, listOwnersToRenew } from './renewerAssignment.js'
 import { listConfirmedRenewals } from './delegatedRenewals.js'
 import { findRange } from './routing.js'
+import { isRecovering } from './storeRestores.js'
 import {
   assumedServiceMs, computeReportMs, earlyReportGrowth, earlyReportMs, minHotKeyStayMs, maxReportMs, maxReportedKeys, mildLoadShare, rateTimeConstantMs, reportMsPerHost, burstTimeConstantMs, urgentLoadShare
 } from './limits.js'
@@ -103,7 +104,8 @@
     placement: state.placementVersion,
     wantsPlacement: state.wantsPlacement,
     storeRevision: state.storeRevision,
-    granting
+    granting,
+    ...(state.knownNextFence > 0 ? { nextFence: state.knownNextFence } : {})
   }
 }
 
@@ -191,7 +193,7 @@
     const serviceMs = Math.round(computeServiceMs(state, id) ?? 0)
     if (others > 0 || serviceMs > 0) backends.push({ id, inFlight: others, serviceMs, admitShare: granting.admitShares.get(id) ?? 1 })
   }
-  return { hosts: expected, backends, placement: granting.published?.version ?? state.placementVersion, storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
+  return { hosts: expected, backends, placement: granting.published?.version ?? (isRecovering(state) ? { revision: 0, confirmations: 0 } : state.placementVersion), storeRevision: granting.relayedRevision, storeAgeMs: computeStoreAgeMs(state, clocks), renewals: listOwnersToRenew(state, host), connectMs: computeConnectMs(state), reporters: countReportingHosts(state), collector: findCollector(state, host), memberRenewals: listMemberRenewals(state, host) }
 }
 
 /** Builds the answer to a host's report; undefined when hosts should not report to this one. */
--- a/src/core/gateway/model.ts
+++ b/src/core/gateway/model.ts
@@ -111,8 +111,11 @@
   serviceMs: Map<string, number>
 }
 
-/** Assignment of keys to owners: the record that the granting host keeps in the store. */
-export type Placement = { nextFence: number, services: Map<string, KeyRange[]>, memory: FleetEstimates }
+/**
+ * Assignment of keys to owners: the record that the granting host keeps in the store. `restores`: how often the store had
+ * been restored from an older copy when the record was written; 0 if undefined.
+ */
+export type Placement = { nextFence: number, services: Map<string, KeyRange[]>, memory: FleetEstimates, restores?: number | undefined }
 
 /** Number of keys of a sharded service; keys are 0 to this less one. */
 export const keyCount = 65_536
--- a/src/core/gateway/placementChange.ts
+++ b/src/core/gateway/placementChange.ts
@@ -1,5 +1,6 @@
 import type { KeyRange, Placement, PlacementChange, PlacementVersion } from './model.js'
 import { findRange } from './routing.js'
+import { countRestores } from './storeRestores.js'
 
 /** A placement with its version. */
 export type VersionedPlacement = { placement: Placement, version: PlacementVersion }
@@ -32,7 +33,8 @@
     changed.set(service, ranges)
   }
   for (const [service, ranges] of changed) services.set(service, mergeRanges(services.get(service) ?? [], ranges))
-  return { nextFence: change.nextFence, services, memory: base?.memory ?? { hosts: 1, serviceMs: new Map() } }
+  const restores = countRestores(change.next.revision)
+  return { nextFence: change.nextFence, services, memory: base?.memory ?? { hosts: 1, serviceMs: new Map() }, ...(restores > 0 ? { restores } : {}) }
 }
 
 /** Lists the changed ranges and those that they do not overlap, sorted by first key. */
@@ -55,6 +57,17 @@
   return version.confirmations > than.confirmations
 }
 
+/**
+ * Whether a placement is older by content than the one in force although its version is later: the store was restored
+ * from an older copy. Without a restore, versions decide.
+ */
+export function isOlderContent (next: VersionedPlacement, inForce: VersionedPlacement): boolean {
+  const restores = countRestores(next.version.revision)
+  if (restores === 0) return false
+  const { nextFence } = inForce.placement
+  return restores > countRestores(inForce.version.revision) ? next.placement.nextFence <= nextFence : next.placement.nextFence < nextFence
+}
+
 /** Whether two versions are the same. */
 export function isSameVersion (a: PlacementVersion, b: PlacementVersion): boolean {
   return a.revision === b.revision && a.confirmations === b.confirmations
--- a/src/core/gateway/placementWriting.ts
+++ b/src/core/gateway/placementWriting.ts
@@ -4,8 +4,9 @@
 import type { GatewayWork } from './state.js'
 import { writeResendMs } from './limits.js'
 import { applyFleetEstimates, buildFleetEstimates } from './loadExchange.js'
-import { isLaterVersion, replaceRange } from './placementChange.js'
+import { isLaterVersion, isOlderContent, replaceRange } from './placementChange.js'
 import { advancePublishing } from './publishing.js'
+import { computeStoredRevision, countRestores } from './storeRestores.js'
 
 /** Time after which a failed write of the placement is retried, in milliseconds. */
 const failedWriteRetryMs = 200
@@ -30,7 +31,7 @@
 function sendWrite (work: GatewayWork, placement: Placement): void {
   const { state } = work
   state.granting.retryWriteAt = state.now + writeResendMs
-  work.effects.push({ kind: 'write-placement', write: state.writesStarted, placement, revision: state.placementVersion.revision, leaderRevision: state.granting.leaderRevision })
+  work.effects.push({ kind: 'write-placement', write: state.writesStarted, placement, revision: computeStoredRevision(state), leaderRevision: state.granting.leaderRevision })
 }
 
 function buildPlacement (work: GatewayWork): Placement {
@@ -42,7 +43,8 @@
     ranges.push({ ...grant.range })
   }
   for (const ranges of services.values()) ranges.sort((a, b) => a.from - b.from)
-  return { nextFence: granting.nextFence, services, memory: buildFleetEstimates(work.state) }
+  const restores = countRestores(granting.leaderRevision)
+  return { nextFence: granting.nextFence, services, memory: buildFleetEstimates(work.state), ...(restores > 0 ? { restores } : {}) }
 }
 
 /** Applies the result of a write of the placement. */
@@ -71,16 +73,27 @@
   granting.writeAt = state.now + failedWriteRetryMs
 }
 
-/** Puts a placement in force for routing, unless the one in force is as new or newer. */
+/** Puts a placement in force for routing, unless the one in force is as new or newer, by version or by content. */
 export function setPlacement (work: GatewayWork, placement: Placement, version: PlacementVersion): void {
   const { state } = work
   if (!isLaterVersion(version, state.placementVersion)) return
+  if (state.placement !== undefined && isOlderContent({ placement, version }, { placement: state.placement, version: state.placementVersion })) return refusePlacement(work, placement, version)
+  state.knownNextFence = Math.max(state.knownNextFence, placement.nextFence)
   state.placement = placement
   state.placementVersion = version
   applyFleetEstimates(state, placement.memory)
   work.effects.push({ kind: 'log', event: 'placementInForce', fields: { ...version, nextFence: placement.nextFence } })
 }
 
+/** Keeps the placement in force instead of one that is older by content; the granting host writes its own again. */
+function refusePlacement (work: GatewayWork, placement: Placement, version: PlacementVersion): void {
+  const { state } = work
+  if (version.revision <= state.refusedPlacementRevision) return
+  state.refusedPlacementRevision = version.revision
+  if (state.granting.isLoaded) state.granting.isDirty = true
+  work.effects.push({ kind: 'log', event: 'placementRefused', fields: { ...version, nextFence: placement.nextFence, inForce: state.placement?.nextFence } })
+}
+
 /** Publishes to all hosts that an owner confirmed its grant, so that they need not wait for the store, which may be unreachable. */
 export function sendConfirmation (work: GatewayWork, grant: ManagedGrant): void {
   const { state } = work
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -23,8 +23,10 @@
 import { advanceRenewing, applyRenewalResult } from './delegatedRenewals.js'
 import { advancePublishing } from './publishing.js'
 import { advanceRelay } from './relaying.js'
+import { applyFoundPlacement, applyRecoveryReport, applyRestores } from './restoredStore.js'
 import { buildRouteIndex } from './routing.js'
 import { applySuspension, recordKnownAsOf } from './storeFreshness.js'
+import { countRestores } from './storeRestores.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
 /** Reducer of a gateway: makes every decision on requests, keys and leadership. `reducedAt`: time at which the event is reduced, later than `event.now` when it was queued. */
@@ -70,6 +72,7 @@
     case 'store-synced': return applySync(work, event)
     case 'changes-told': return applyRelayedChanges(work, event)
     case 'store-known': return recordKnownAsOf(work.state, event.asOf)
+    case 'store-restored': return applyRestores(work, event.restores)
     case 'store-lost': return applyStoreLoss(work, event)
     case 'leadership-claimed': return applyClaimResult(work, event)
     case 'lease-renewed': return applyLeaseRenewal(work, event)
@@ -79,6 +82,7 @@
     case 'load-reported': return applyHostReport(work, event.report)
     case 'fleet-load-read': return handleFleetLoad(work, event)
     case 'placement-changed': return handlePlacementChange(work, event.change, rules)
+    case 'placement-found': return applyFoundPlacement(work, event.change)
     case 'exchange-ended': return handleExchangeEnd(work, event.address)
     case 'stop-asked': return startStop(work, event.graceMs)
     case 'callers-closed': return handleCallersClosed(work)
@@ -86,8 +90,10 @@
 }
 
 function applyHostReport (work: GatewayWork, report: LoadReport): void {
+  applyRestores(work, countRestores(Math.max(report.storeRevision, report.granting?.revision ?? 0)))
   applyReportedGrantingHost(work, report)
   for (const member of report.members ?? []) applyReportedGrantingHost(work, member)
+  applyRecoveryReport(work, report)
   applyReport(work, report)
   applyCollectedReport(work, report)
   applyRenewerReport(work, report)
@@ -129,7 +135,8 @@
 function applyConfiguration (work: GatewayWork, event: Extract<GatewayEvent, { kind: 'configuration-read' }>): void {
   const { state } = work
   const { configuration, revision } = event
-  if (revision <= state.configurationRevision || configuration.version <= (state.configuration?.version ?? -1)) {
+  const isTieBroken = countRestores(revision) > 0 && configuration.version === state.configuration?.version
+  if (revision <= state.configurationRevision || (configuration.version <= (state.configuration?.version ?? -1) && !isTieBroken)) {
     if (configuration.version < (state.configuration?.version ?? -1)) {
       work.effects.push({ kind: 'log', event: 'configurationIgnored', fields: { version: configuration.version, revision, inForce: state.configuration?.version } })
     }
@@ -186,6 +193,7 @@
 
 function applyStoreRevision (work: GatewayWork, revision: number): void {
   const { state } = work
+  applyRestores(work, countRestores(revision))
   if (revision <= state.storeRevision) return
   state.storeRevision = revision
   advanceRelay(work)
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -117,6 +117,16 @@
   expiredRegistrations: Map<string, number>
   placement: Placement | undefined
   placementVersion: PlacementVersion
+  /** Highest next fencing token of the placements that this host has known. */
+  knownNextFence: number
+  /** Revision of the latest stored placement that was not taken because its content is older than the known one; 0 if there was none. */
+  refusedPlacementRevision: number
+  /** Number of restores of the store from an older copy, as far as this host knows. */
+  restores: number
+  /** When this host last learned of such a restore. */
+  restoredAt: number
+  /** What this host knew of earlier granting hosts when it stopped granting because of a restore. `isCertain`: no other host can have become the granting host before the restore. */
+  ledUntilRestore: { restores: number, at: number, isCertain: boolean, activePredecessors: GrantingHost[], predecessorsActiveUntil: number } | undefined
   /** Number of placement writes that this process has started. */
   writesStarted: number
   /** Whether this host missed a change of the placement and needs the whole placement. */
@@ -137,6 +147,8 @@
   /** Time up to which the granting host has relayed all changes that the store had acknowledged, including values that it left out and that are still being read; `-Infinity` without an exchange. */
   receivedAsOf: number
   grantingHost: GrantingHost | undefined
+  /** Granting host whose record was last seen to end. */
+  formerGrantingHost: GrantingHost | undefined
   /** Address of the granting host to which this host last reported. */
   reportedTo: string | undefined
   /** Record of the last granting host in the store, with its revision. */
@@ -196,6 +208,11 @@
     expiredRegistrations: new Map(),
     placement: undefined,
     placementVersion: { revision: 0, confirmations: 0 },
+    knownNextFence: 0,
+    refusedPlacementRevision: 0,
+    restores: 0,
+    restoredAt: -Infinity,
+    ledUntilRestore: undefined,
     writesStarted: 0,
     wantsPlacement: false,
     storeSource: 'watched',
@@ -207,6 +224,7 @@
     changeLags: buildChangeLags(now),
     receivedAsOf: -Infinity,
     grantingHost: undefined,
+    formerGrantingHost: undefined,
     reportedTo: undefined,
     lastGranting: undefined,
     grantingRevision: 0,
--- a/src/protocol/placementRecord.ts
+++ b/src/protocol/placementRecord.ts
@@ -28,7 +28,9 @@
   services: z.record(z.string(), z.array(rangeSchema)),
   /** Estimates for starting hosts: the number of hosts, and the service time of each owner in milliseconds, 0 if unknown. */
   hosts: z.number().int().positive().max(maxHosts).default(1),
-  serviceMs: z.array(z.number().int().nonnegative().max(maxServiceMs)).default([])
+  serviceMs: z.array(z.number().int().nonnegative().max(maxServiceMs)).default([]),
+  /** How often the store had been restored from an older copy when the placement was written. */
+  restores: z.number().int().nonnegative().optional()
 })
 const grantingHostSchema = z.object({ host: z.string(), address: z.string().refine(isSocketAddress) })
 const grantingRecordSchema = grantingHostSchema.extend({ unsettled: z.array(grantingHostSchema) })
@@ -48,9 +50,9 @@
   const services = Object.fromEntries([...placement.services].map(([service, ranges]) => [service, ranges.map(range => {
     return [range.from, range.fence, addOwner(range.owner), range.previous === undefined ? -1 : addOwner(range.previous), range.phase === 'moving' ? 1 : 0]
   })]))
-  const { hosts } = placement.memory
+  const { restores, memory: { hosts } } = placement
   const serviceMs = owners.map(([id]) => placement.memory.serviceMs.get(id) ?? 0)
-  return JSON.stringify({ nextFence: placement.nextFence, holders: owners, services, hosts, serviceMs })
+  return JSON.stringify({ nextFence: placement.nextFence, holders: owners, services, hosts, serviceMs, restores })
 }
 
 /** Decodes a placement; undefined when it is malformed. */
@@ -69,7 +71,8 @@
     const ms = result.data.serviceMs[index] ?? 0
     if (ms > 0) serviceMs.set(owner.id, ms)
   })
-  return { nextFence: result.data.nextFence, services, memory: { hosts: result.data.hosts, serviceMs } }
+  const { nextFence, hosts, restores } = result.data
+  return { nextFence, services, memory: { hosts, serviceMs }, ...(restores === undefined ? {} : { restores }) }
 }
 
 function buildRanges (tuples: Array<z.output<typeof rangeSchema>>, owners: readonly KeyOwner[]): KeyRange[] | undefined {
--- a/src/runtime/gateway/fleetExchange.ts
+++ b/src/runtime/gateway/fleetExchange.ts
@@ -32,6 +32,8 @@
   post: (event: GatewayEvent) => boolean
   /** Builds the load that answers a host's report; undefined when hosts should not report to this one. */
   buildLoadAnswer: (host: string) => FleetLoad | undefined
+  /** Builds the whole placement for a granting host that requests it; undefined if the report is no such request or this host knows no newer one. */
+  buildNewerPlacement?: (report: LoadReport) => PlacementChange | undefined
   /** Lists the store changes after a revision, for a host that knows the store up to that revision; undefined before the first complete read of the store. */
   listChangesSince: (revision: number) => RelayedChanges | undefined
   /** Finds the value that a key of the store had at a revision, if it is still kept. */
@@ -45,7 +47,7 @@
   listen: (address: string) => Promise<ListenOutcome>
   /** Sends a report to the granting host or a collector; opens the stream if there is none. `inFlight`: this host's own requests in flight, by backend server. */
   report: (address: string, report: LoadReport, inFlight: Map<string, number>) => void
-  /** Sends one report to a host that is not the granting host, over a connection of its own; an answer is ignored. */
+  /** Sends one report to a host that is not the granting host, over a connection of its own; an answer is ignored, except a whole placement. */
   notify: (address: string, report: LoadReport) => void
   /** Sends a change of owners to all hosts that report to this one, or to one of them. */
   publish: (change: PlacementChange, host?: string) => void
@@ -126,7 +128,10 @@
       notices.add(closeNotice)
       // A host that can't be reached is notified again.
       stream.on('error', () => {})
-      stream.on('data', () => {})
+      stream.on('data', ({ update }: FleetUpdate) => {
+        if (update?.$case !== 'placement' || update.placement.base !== undefined) return
+        parts.post({ kind: 'placement-found', now: parts.timers.clock.now(), change: decodePlacementChange(update.placement) })
+      })
       stream.write(encodeLoadReport(report))
       stream.end()
       parts.timers.schedule(closeDelayMs, closeNotice)
@@ -183,6 +188,12 @@
   }
   const handleReport = (connection: HostConnection, message: WireReport) => {
     const report = decodeLoadReport(message)
+    const newer = parts.buildNewerPlacement?.(report)
+    if (newer !== undefined) {
+      connection.stream.write({ update: { $case: 'placement', placement: encodePlacementChange(newer) } })
+      connection.stream.end()
+      return
+    }
     const load = parts.buildLoadAnswer(report.host)
     if (load === undefined) {
       connection.stream.end()
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -14,7 +14,7 @@
 /** Names of a gateway's gauges. */
 export const gatewayGauges = [
   'gateway_requests', 'gateway_caller_connections', 'gateway_stop_phase', 'gateway_store_up', 'gateway_granting', 'gateway_configuration_version', 'gateway_placement_revision',
-  'gateway_store_revision', 'gateway_store_age_ms', 'gateway_told', 'gateway_events_waiting', 'gateway_reporting_hosts'
+  'gateway_store_revision', 'gateway_store_age_ms', 'gateway_store_restores', 'gateway_told', 'gateway_events_waiting', 'gateway_reporting_hosts'
 ] as const
 /** Name of a gateway's gauge. */
 export type GatewayGauge = typeof gatewayGauges[number]
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -20,6 +20,7 @@
 import { computeNextTickAt, isGatewayReady, reduceGateway } from '../../core/gateway/reduceGateway.js'
 import { buildGatewayState } from '../../core/gateway/state.js'
 import { stopPhases } from '../../core/gateway/stop.js'
+import { buildNewerPlacement } from '../../core/gateway/restoredStore.js'
 import { createAdminServer } from '../adminServer.js'
 import { createPeerCredentials } from '../credentials.js'
 import { listenHttp } from '../listen.js'
@@ -90,6 +91,7 @@
       gateway_configuration_version: current.configuration?.version ?? 0,
       gateway_placement_revision: current.placementVersion.revision,
       gateway_store_revision: current.storeRevision,
+      gateway_store_restores: current.restores,
       gateway_store_age_ms: current.knownAsOf === -Infinity ? 0 : Math.round(clock.now() - current.knownAsOf),
       gateway_told: current.storeSource === 'told' ? 1 : 0,
       gateway_events_waiting: program.countWaiting(),
@@ -115,6 +117,7 @@
     post,
     log,
     buildLoadAnswer: host => buildLoadAnswer(program.getState(), host, { now: clock.now(), wall: clock.wall() }),
+    buildNewerPlacement: report => buildNewerPlacement(program.getState(), report),
     listChangesSince: revision => {
       const changes = storeFollower.listChangesSince(revision)
       return changes === undefined ? undefined : { ...changes, graceMs: computeExpiryGraceMs(program.getState()) }
--- a/src/runtime/gateway/interpretEffect.ts
+++ b/src/runtime/gateway/interpretEffect.ts
@@ -53,6 +53,7 @@
     case 'grant': return sendGrant(effect, parts)
     case 'release': return sendRelease(effect, parts)
     case 'report-load': return parts.fleetExchange.report(effect.address, effect.report, effect.inFlight)
+    case 'request-placement':
     case 'notify-predecessor': return parts.fleetExchange.notify(effect.address, effect.report)
     case 'publish-placement': return parts.fleetExchange.publish(effect.change, effect.host)
     case 'watch-store': return parts.storeFollower.setWatching(effect.isOn)
--- a/src/runtime/gateway/ports.ts
+++ b/src/runtime/gateway/ports.ts
@@ -26,7 +26,10 @@
   writes: Array<{ key: string, value: string, lease: number }>
 }
 
-/** Client of the platform's key-value store. Failures are returned, never thrown. */
+/**
+ * Client of the platform's key-value store. Failures are returned, never thrown. Revisions and leases grow also when the
+ * store is restored from an older copy; what was given out before a restore matches nothing after it.
+ */
 export type MetadataStore = {
   readAll: (prefix: string) => Promise<StoreRead>
   readKey: (key: string) => Promise<StoreKeyRead>
@@ -35,6 +38,8 @@
   renewLease: (lease: number) => Promise<'renewed' | 'ended' | 'unknown'>
   endLease: (lease: number) => Promise<void>
   write: (write: ConditionalWrite) => Promise<{ outcome: WriteOutcome, revision: number }>
+  /** Calls `notify` whenever an answer shows that the store was restored from an older copy, with the number of restores; absent for a store that is never restored. */
+  watchRestores?: ((notify: (restores: number) => void) => void) | undefined
   close: () => void
 }
 
--- a/src/runtime/gateway/storeCallCounts.ts
+++ b/src/runtime/gateway/storeCallCounts.ts
@@ -19,6 +19,7 @@
     renewLease: countAs('renewal', store.renewLease),
     endLease: countAs('lease', store.endLease),
     write: countAs('write', store.write),
+    watchRestores: store.watchRestores,
     close: store.close
   }
 }
--- a/src/runtime/gateway/storeFollower.ts
+++ b/src/runtime/gateway/storeFollower.ts
@@ -5,6 +5,7 @@
 import type { GatewayWire, MetadataStore, StoreFailure } from './ports.js'
 import { decodeGrantingHost, decodeGrantingRecord, decodePlacement, grantingHostKey, lastGrantingHostKey, placementKey } from '../../protocol/placementRecord.js'
 import { applyChange, applyEditedValue, buildStoreView, findEarlierValue, listImpliedDeletions, listChangesSince, setSnapshotRevision } from '../../core/gateway/storeView.js'
+import { countRestores } from '../../core/gateway/storeRestores.js'
 import { runtimeEventNumbers } from '../log.js'
 import { createLeftOutValueReader } from './leftOutValues.js'
 import { runDetached } from '../runDetached.js'
@@ -163,6 +164,7 @@
     }
     isLoopRunning = false
   }
+  store.watchRestores?.(restores => { parts.post({ kind: 'store-restored', now: timers.clock.now(), restores }) })
   runDetached(loop())
   return {
     refresh: () => runDetached(readAll().then(() => {})),
@@ -171,6 +173,8 @@
       if (isOn) runDetached(loop())
     },
     applyRelayedChanges: relayed => {
+      // The sender does not know yet that the store was restored, and what it relays may be lost.
+      if (countRestores(relayed.to) < countRestores(view.revision ?? 0)) return
       // The newest change of each key is applied regardless of its source. While this host watches the store, the watch may be stalled for this host only.
       for (const change of relayed.changes) applyAndPost(change, relayed.graceMs)
       if (view.revision === undefined || relayed.from > Math.max(view.revision, relayedRevision)) {
--- a/tests/support/platform/kvStandin.ts
+++ b/tests/support/platform/kvStandin.ts
@@ -25,6 +25,9 @@
   slowCall: string | undefined
 }
 
+/** Copy of the stand-in's content. */
+export type KvCopy = { items: Map<string, Item>, history: Change[], revision: number, nextLease: number }
+
 /** Stand-in for the platform's key-value store. */
 export type KvStandin = {
   address: string
@@ -38,6 +41,10 @@
   compact: () => void
   /** Makes changes without events for watches and compacts the history: watches that start before are answered 410. */
   changeWithoutEvents: (change: () => void) => void
+  /** Copies what the store holds, without leases and the keys that they keep. */
+  copy: () => KvCopy
+  /** Restores the store from a copy: revisions and leases are given out again, and all answers name the next era. */
+  restore: (copy: KvCopy) => void
   /** Leaves the pending watches without an answer and their connections open. */
   dropWatches: () => void
   close: () => Promise<void>
@@ -54,6 +61,7 @@
   let revision = 1
   let oldestRevision = 1
   let nextLease = 1
+  let era = 0
   /** Name of the call that each response answers. */
   const callNames = new WeakMap<ServerResponse, string>()
 
@@ -94,6 +102,7 @@
     oldestRevision = revision + 1
   }
   const reply = (response: ServerResponse, status: number, body: unknown) => {
+    if (era > 0) response.setHeader('Store-Era', String(era))
     const text = JSON.stringify(body)
     const isSlow = faults.partDelayMs > 0 && (faults.slowCall === undefined || faults.slowCall === callNames.get(response))
     if (!isSlow || text.length <= partBytes) return send(response, status, body)
@@ -208,6 +217,16 @@
       compact()
       for (const wake of [...pendingWatches]) wake()
     },
+    copy: () => ({ items: new Map([...items].filter(([, item]) => item.lease === 0)), history: history.filter(change => !('lease' in change) || change.lease === 0), revision, nextLease }),
+    restore: copy => {
+      era += 1
+      items.clear()
+      for (const [key, item] of copy.items) items.set(key, item)
+      history.splice(0, history.length, ...copy.history)
+      leases.clear()
+      revision = copy.revision
+      nextLease = copy.nextLease
+    },
     dropWatches: () => { pendingWatches.clear() },
     close: async () => {
       clearInterval(expiryTimer)
--- a/tests/support/platform/platformFleet.ts
+++ b/tests/support/platform/platformFleet.ts
@@ -153,6 +153,7 @@
     renewLease: async lease => isCut() ? await answerUnlessCut(Promise.resolve('unknown' as const), 'unknown') : await answerUnlessCut(store.renewLease(lease), 'unknown'),
     endLease: store.endLease,
     write: async write => isCut() ? await answerUnlessCut(Promise.resolve({ outcome: 'unknown' as const, revision: 0 }), { outcome: 'unknown', revision: 0 }) : await answerUnlessCut(store.write(write), { outcome: 'unknown', revision: 0 }),
+    watchRestores: store.watchRestores,
     close: store.close
   }
 }
