After a restore of the store, processes that know the fleet claim first; shorter waits

Cause: hosts that had just started won the lease as soon as those that knew the fleet, and then waited 15.1 s although every host had reported. The last granting host waited as well after an outage longer than its lease.

After a longer outage, the last granting host goes on when every host has reported and none knows further fencing tokens.

--- a/src/core/gateway/grantingState.ts
+++ b/src/core/gateway/grantingState.ts
@@ -84,7 +84,7 @@
   recoverUntil: number
   /** Whether this host was the last granting host before such a restore, as far as it knows, so that it knows all grants. */
   isContinuing: boolean
-  /** Hosts that may have been the granting host before such a restore; `undefined` if this host did not know the fleet. */
+  /** Hosts that may have been the granting host before such a restore; `undefined` if neither this host nor the stored placement knew the fleet. */
   hostsToHearFrom: { count: number, last: GrantingHost | undefined } | undefined
   /** Hosts that reported that they know this granting host. */
   awareHosts: Set<string>
--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -1,5 +1,6 @@
 import type { GatewayEvent, LoadReport, MemberReport } from './events.js'
 import type { GrantingHost } from './model.js'
+import type { GrantingState } from './grantingState.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { largeHostProcessorShare, resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, smallHostDelayMs, maxHoldMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs, renewalValidityMs, restoredClaimDelayMs } from './limits.js'
@@ -54,10 +55,10 @@
   work.effects.push({ kind: 'claim-leadership', ttlMs: leadershipTtlMs, record, lastRevision: state.lastGranting?.revision ?? 0 })
 }
 
-/** Computes the additional delay of a claim after a restore of the store, in milliseconds: the last granting host, which knows all grants, claims first. */
+/** Computes the additional delay of a claim after a restore of the store, in milliseconds: the last granting host, which knows all grants, claims first, then a host that knows how many there are. */
 function computeRestoredDelayMs (state: GatewayState): number {
-  if (state.now - state.restoredAt > leadershipTtlMs) return 0
-  return state.ledUntilRestore?.restores === state.restores ? 0 : restoredClaimDelayMs
+  if (!isPlacementLost(state, state.restores) || state.ledUntilRestore?.restores === state.restores) return 0
+  return state.loadReadAt === -Infinity ? 2 * restoredClaimDelayMs : restoredClaimDelayMs
 }
 
 function hasShardedService (work: GatewayWork): boolean {
@@ -136,7 +137,7 @@
     predecessorsActiveUntil: hasPossiblePredecessors ? predecessorsActiveUntil : event.now,
     recoverUntil: continued?.isCertain !== true && restores > 0 ? event.now + maxStoreOutageMs + renewalValidityMs + maxHoldMs : -Infinity,
     isContinuing: continued !== undefined,
-    hostsToHearFrom: state.loadReadAt === -Infinity ? undefined : { count: Math.max(state.hosts, state.placement?.memory.hosts ?? 1), last: state.formerGrantingHost }
+    hostsToHearFrom: findHostsToHearFrom(state)
   }
   // The other hosts take no placement that may be older than theirs.
   if (isRecovering(state)) state.granting.published = undefined
@@ -154,6 +155,13 @@
   return ledUntilRestore?.restores === state.restores && now - ledUntilRestore.at < renewalValidityMs + maxHoldMs ? ledUntilRestore : undefined
 }
 
+/** Finds the hosts that may have been granting before a restore of the store: a process that has had no figures of the fleet relies on those of the stored placement. */
+function findHostsToHearFrom (state: GatewayState): GrantingState['hostsToHearFrom'] {
+  const storedCount = state.placement?.memory.hosts ?? 1
+  if (state.loadReadAt !== -Infinity) return { count: Math.max(state.hosts, storedCount), last: state.formerGrantingHost }
+  return storedCount > 1 ? { count: storedCount, last: state.formerGrantingHost } : undefined
+}
+
 /** Whether the store was restored since the known placement was written. */
 function isPlacementLost ({ placement }: GatewayState, restores: number): boolean {
   return restores > (placement?.restores ?? 0)
--- a/src/core/gateway/restoredStore.ts
+++ b/src/core/gateway/restoredStore.ts
@@ -17,7 +17,6 @@
   state.restores = restores
   work.effects.push({ kind: 'log', event: 'storeRestored', fields: { restores, first: !state.storeSynced } })
   if (!state.storeSynced) return
-  state.restoredAt = state.now
   state.storeRegainedAt = state.now
   state.disruptedAt = state.now
   const { granting } = state
@@ -47,8 +46,8 @@
 
 /** Whether every host that may have been the granting host before the restore has reported that it knows this one. */
 function hasHeardFromAll ({ granting, identity }: GatewayState): boolean {
-  const { hostsToHearFrom, awareHosts } = granting
-  if (hostsToHearFrom === undefined || awareHosts.size + 1 < hostsToHearFrom.count) return false
+  const { hostsToHearFrom, awareHosts, activePredecessors } = granting
+  if (hostsToHearFrom === undefined || awareHosts.size + 1 < hostsToHearFrom.count || activePredecessors.length > 0) return false
   const { last } = hostsToHearFrom
   return last === undefined || last.host === identity.host || awareHosts.has(last.host)
 }
--- a/src/core/gateway/state.ts
+++ b/src/core/gateway/state.ts
@@ -123,8 +123,6 @@
   refusedPlacementRevision: number
   /** Number of restores of the store from an older copy, as far as this host knows. */
   restores: number
-  /** When this host last learned of such a restore. */
-  restoredAt: number
   /** What this host knew of earlier granting hosts when it stopped granting because of a restore. `isCertain`: no other host can have become the granting host before the restore. */
   ledUntilRestore: { restores: number, at: number, isCertain: boolean, activePredecessors: GrantingHost[], predecessorsActiveUntil: number } | undefined
   /** Number of placement writes that this process has started. */
@@ -211,7 +209,6 @@
     knownNextFence: 0,
     refusedPlacementRevision: 0,
     restores: 0,
-    restoredAt: -Infinity,
     ledUntilRestore: undefined,
     writesStarted: 0,
     wantsPlacement: false,
