--- a/src/core/gateway/leadership.ts
+++ b/src/core/gateway/leadership.ts
@@ -1,8 +1,9 @@
 import type { GatewayEvent, LoadReport, MemberReport } from './events.js'
 import type { GrantingHost } from './model.js'
+import type { GrantingState } from './grantingState.js'
 import type { GatewayState, GatewayWork } from './state.js'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs } from './limits.js'
+import { resendMs, claimJitterMs, leadershipRenewalMs, leadershipTtlMs, pauseThresholdMs, maxHoldMs, maxStoreOutageMs, movingLeaseShare, predecessorNoticeMs, renewalValidityMs, restoredClaimDelayMs } from './limits.js'
 import { computeClaimDelayMs } from './controlCapacity.js'
 import { buildNotice, notifyFormerGrantingHost } from './loadExchange.js'
 import { stopRenewing } from './delegatedRenewals.js'
@@ -10,6 +11,7 @@
 import { dropColdShares } from './coldAdmission.js'
 import { buildCollectingState } from './collectingState.js'
 import { buildGrantingState } from './grantingState.js'
+import { countRestores, isRecovering } from './storeRestores.js'
 
 /** Timeout of an unanswered claim, in milliseconds: longer than the delays of the store. */
 const claimTimeoutMs = 4000
@@ -43,7 +45,7 @@
     granting.claimAt = undefined
     return
   }
-  granting.claimAt ??= now + uniformFloat64(state.random) * claimJitterMs + computeClaimDelayMs(state.identity)
+  granting.claimAt ??= now + uniformFloat64(state.random) * claimJitterMs + computeClaimDelayMs(state.identity) + computeRestoredDelayMs(state)
   if (now < granting.claimAt) return
   granting.claimAt = undefined
   granting.role = 'claiming'
@@ -56,6 +58,12 @@
   work.effects.push({ kind: 'claim-leadership', ttlMs: leadershipTtlMs, record, lastRevision: state.lastGranting?.revision ?? 0 })
 }
 
+/** Computes the additional delay of a claim after a restore of the store, in milliseconds: the last granting host, which knows all grants, claims first, then a host that knows how many there are. */
+function computeRestoredDelayMs (state: GatewayState): number {
+  if (!isPlacementLost(state, state.restores) || state.ledUntilRestore?.restores === state.restores) return 0
+  return state.loadReadAt === -Infinity ? 2 * restoredClaimDelayMs : restoredClaimDelayMs
+}
+
 /** Whether a service needs a granting host: for its keys, or for the allowances of its cold servers. */
 function hasGrantedService (work: GatewayWork): boolean {
   for (const service of work.state.configuration?.services.values() ?? []) {
@@ -102,12 +110,18 @@
   const { state } = work
   const { granting } = state
   if (granting.role !== 'claiming') return
-  if (event.outcome !== 'written') {
+  const restores = countRestores(event.revision)
+  if (event.outcome !== 'written' || restores < state.restores) {
     granting.role = 'follower'
     if (event.outcome === 'unknown') work.effects.push({ kind: 'read-store' })
     return
   }
-  const { activePredecessors, hasPossiblePredecessors } = granting
+  state.restores = restores
+  const continued = findContinued(state, event.now)
+  const activePredecessors = continued?.activePredecessors ?? granting.activePredecessors
+  const predecessorsActiveUntil = continued?.predecessorsActiveUntil ?? event.now + maxStoreOutageMs
+  // The record of an earlier granting host may have been lost in a restore of the store.
+  const hasPossiblePredecessors = continued === undefined ? granting.hasPossiblePredecessors || isPlacementLost(state, restores) : predecessorsActiveUntil > event.now
   state.granting = {
     ...buildGrantingState(event.now),
     role: 'leading',
@@ -124,8 +138,13 @@
     relayedAsOf: state.knownAsOf,
     activePredecessors,
     hasPossiblePredecessors,
-    predecessorsActiveUntil: hasPossiblePredecessors ? event.now + maxStoreOutageMs : event.now
+    predecessorsActiveUntil: hasPossiblePredecessors ? predecessorsActiveUntil : event.now,
+    recoverUntil: continued?.isCertain !== true && restores > 0 ? event.now + maxStoreOutageMs + renewalValidityMs + maxHoldMs : -Infinity,
+    isContinuing: continued !== undefined,
+    hostsToHearFrom: findHostsToHearFrom(state)
   }
+  // The other hosts take no placement that may be older than theirs.
+  if (isRecovering(state)) state.granting.published = undefined
   // The hosts that reported to this one as a collector now report to it as the granting host.
   state.collecting = buildCollectingState(event.now)
   state.collector = undefined
@@ -133,6 +152,25 @@
   work.effects.push({ kind: 'log', event: 'leadershipWon', fields: { lease: event.lease, revision: event.revision } })
 }
 
+/** Finds what this host knew when the store was restored, if it was the granting host until then and no other one can have begun to grant since. */
+function findContinued (state: GatewayState, now: number): GatewayState['ledUntilRestore'] {
+  const { ledUntilRestore } = state
+  // Any other host that won in between would still be waiting for unknown grants to expire.
+  return ledUntilRestore?.restores === state.restores && now - ledUntilRestore.at < renewalValidityMs + maxHoldMs ? ledUntilRestore : undefined
+}
+
+/** Finds the hosts that may have been granting before a restore of the store: a process that has had no figures of the fleet relies on those of the stored placement. */
+function findHostsToHearFrom (state: GatewayState): GrantingState['hostsToHearFrom'] {
+  const storedCount = state.placement?.memory.hosts ?? 1
+  if (state.loadReadAt !== -Infinity) return { count: Math.max(state.hosts, storedCount), last: state.formerGrantingHost }
+  return storedCount > 1 ? { count: storedCount, last: state.formerGrantingHost } : undefined
+}
+
+/** Whether the store was restored since the known placement was written. */
+function isPlacementLost ({ placement }: GatewayState, restores: number): boolean {
+  return restores > (placement?.restores ?? 0)
+}
+
 /** Lists previous granting hosts that may not have stopped. This host is left out: its earlier processes and leases have ended. */
 function listActivePredecessors (state: GatewayState): GrantingHost[] {
   const { lastGranting, identity } = state
@@ -182,6 +220,7 @@
   const { state } = work
   if (event.revision < state.grantingRevision) return
   const isChange = event.granting?.host !== state.grantingHost?.host || event.granting?.address !== state.grantingHost?.address
+  if (isChange && state.grantingHost !== undefined) state.formerGrantingHost = state.grantingHost
   state.grantingRevision = event.revision
   state.grantingHost = event.granting
   if (isChange) state.reportAt = state.now
