--- a/src/core/policy/memoryBudget.ts
+++ b/src/core/policy/memoryBudget.ts
@@ -4,6 +4,10 @@
 const heldShare = 0.1
 /** Share of what is held to which it is reduced once it exceeds its limit, so that not every further byte closes a connection. */
 const reducedShare = 0.9
+/** Share of the limit from which on connections that hold much are read slowly. */
+const slowReadShare = 0.4
+/** Bytes of a connection from which on it may be read slowly: more than an ordinary request takes. */
+const slowReadBytes = 64 * 1024
 /** Share of the limit up to which answers are read ahead of callers that read them slowly. */
 const readAheadShare = 0.5
 /** Largest part of the limit that one connection may hold before no more is read from it. */
@@ -105,6 +109,14 @@
   return a.openedAt < b.openedAt
 }
 
+/**
+ * Returns whether a connection is read only now and then, because it holds much and the host does too. Under a crowd, what is read and
+ * refused at once leaves memory behind faster than it is collected.
+ */
+export function isReadSlowly (connectionBytes: number, totalBytes: number, limits: HeldLimits): boolean {
+  return connectionBytes > slowReadBytes && totalBytes > limits.heldBytes * slowReadShare
+}
+
 /** Returns whether an answer is read on although its caller has not read the bytes before; within these bounds a slow caller does not slow down a backend server. */
 export function isReadAhead (unreadBytes: number, totalBytes: number, limits: HeldLimits): boolean {
   return unreadBytes < limits.unreadBytes && totalBytes < limits.heldBytes * readAheadShare
--- a/src/runtime/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -4,7 +4,7 @@
 import type { CallerReading } from './callerReading.js'
 import type { TimerService } from './timerService.js'
 import { Server as TcpServer } from 'node:net'
-import { chooseExcessConnection, chooseExcessHoldings, computeRequestBytes, computeUnreadBodyBytes, connectionBytes, isReadAhead } from '../core/policy/memoryBudget.js'
+import { chooseExcessConnection, chooseExcessHoldings, computeRequestBytes, computeUnreadBodyBytes, connectionBytes, isReadAhead, isReadSlowly } from '../core/policy/memoryBudget.js'
 import { countRunnable, maxRequestsAhead } from '../core/policy/sentAhead.js'
 import { readCaller } from './callerReading.js'
 
@@ -76,6 +76,8 @@
   isUsed: boolean
   isEnding: boolean
   isClosed: boolean
+  /** Whether it may be read once although it is to be read slowly. */
+  isReadDue: boolean
   writtenBytes: number
   writtenAt: number
 }
@@ -166,12 +168,16 @@
   const openConnection = (socket: Socket) => {
     const reading = readCaller(socket, {
       timers,
-      mayRead: () => !connection.isEnding && connection.heldBytes < limits.connectionBytes,
-      notify: () => updateHeld(connection)
+      mayRead: () => !connection.isEnding && connection.heldBytes < limits.connectionBytes &&
+        (connection.isReadDue || !isReadSlowly(connection.heldBytes, heldBytes, limits)),
+      notify: () => {
+        connection.isReadDue = false
+        updateHeld(connection)
+      }
     })
     const now = clock.now()
     const connection: Connection = {
-      socket, reading, entries: [], answers: 0, heldBytes: 0, openedAt: now, isAnswering: false, isUsed: false, isEnding: false, isClosed: false, writtenBytes: 0, writtenAt: now
+      socket, reading, entries: [], answers: 0, heldBytes: 0, openedAt: now, isAnswering: false, isUsed: false, isEnding: false, isClosed: false, isReadDue: false, writtenBytes: 0, writtenAt: now
     }
     const excess = connections.size >= limits.connections ? chooseExcessConnection(connections.values()) : undefined
     connections.set(socket, connection)
@@ -194,6 +200,7 @@
         closeExcess(connection, 'unread')
         continue
       }
+      connection.isReadDue = true
       advance(connection)
       connection.reading.advance()
     }
--- a/tests/callerCrowds.spec.ts
+++ b/tests/callerCrowds.spec.ts
@@ -6,7 +6,7 @@
 import { callGateway } from './support/platform/platformFleet.js'
 
 /** Limits of the process: the memory of a host two thirds as large as the smallest one, of which Node.js may use about a third for old objects. */
-const limits: CrowdLimits = { memoryMb: 140, descriptors: 160, heapMb: 48 }
+const limits: CrowdLimits = { memoryMb: 140, descriptors: 160, heapMb: 48, bodyBytes: 1_000_000 }
 /** Time for which a crowd writes, in milliseconds, unless the process ends before. */
 const crowdMs = 6000
 /** Most that one caller writes, in bytes. */
--- a/tests/crowds/crowdHost.ts
+++ b/tests/crowds/crowdHost.ts
@@ -12,8 +12,8 @@
 /** Optional dependencies that bunyan loads only when they are installed. */
 const optionalModules = ['dtrace-provider', 'mv', 'safe-json-stringify', 'moment']
 
-/** Lowered limits of the process. `memoryMb` and `descriptors` are its settings and the bounds that it is held to; `heapMb` is what Node.js may use for old objects. */
-export type CrowdLimits = { memoryMb: number, descriptors: number, heapMb: number }
+/** Lowered limits of the process. `memoryMb` and `descriptors` are its settings and the bounds that it is held to; `heapMb` is what Node.js may use for old objects, `bodyBytes` the limit of bodies in the configuration. */
+export type CrowdLimits = { memoryMb: number, descriptors: number, heapMb: number, bodyBytes: number }
 
 /** A gateway in a process of its own, with its store and backend servers. */
 export type CrowdHost = {
@@ -35,7 +35,7 @@
   await build({ entryPoints: ['platform/main.ts'], bundle: true, platform: 'node', target: 'node20', format: 'cjs', external: optionalModules, outfile: program, logLevel: 'error' })
   const store = await startKvStandin()
   const backends = await Promise.all(['shards', 'shards', 'plain', 'plain'].map(async (service, index) => await startGrantBackend(`${service}-${index}`, { sharded: service === 'shards' })))
-  store.put('op/config', buildCrowdConfiguration())
+  store.put('op/config', buildCrowdConfiguration(limits.bodyBytes))
   for (const backend of backends) {
     store.put(`servers/${backend.id}`, { service: backend.id.split('-')[0], address: backend.address, zone: 'zone-1', version: 'v1', slots: 4, state: 'ready', cold_left_s: 0, sequence: 1, born: 1000 })
   }
@@ -59,11 +59,11 @@
   return { ...host, stop }
 }
 
-/** Builds a configuration with a small limit of bodies; its deadlines are too long to pass on a busy machine. */
-function buildCrowdConfiguration (): Record<string, unknown> {
+/** Builds a configuration with a limit of bodies; its deadlines are too long to pass on a busy machine. */
+function buildCrowdConfiguration (bodyBytes: number): Record<string, unknown> {
   const configuration = buildConfiguration(1)
   for (const route of Object.values(configuration.routes as Record<string, Record<string, unknown>>)) route.timeout_s = 20
-  return { ...configuration, limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_s: 3, idle_timeout_s: 15 } }
+  return { ...configuration, limits: { max_header_bytes: 16_384, max_body_bytes: bodyBytes, header_timeout_s: 3, idle_timeout_s: 15 } }
 }
 
 function watchProcess (child: ChildProcess): Pick<CrowdHost, 'isAlive' | 'readPeakMb' | 'countDescriptors'> {
--- a/tests/memoryBudget.spec.ts
+++ b/tests/memoryBudget.spec.ts
@@ -1,7 +1,7 @@
 import type { ReadDebt, ReadPhase } from '../src/core/policy/readSlices.js'
 import test from 'ava'
 import fc from 'fast-check'
-import { chooseExcessConnection, chooseExcessHoldings, computeCallerLimits, computeProbeLimits, computeUnreadBodyBytes, connectionBytes, isReadAhead } from '../src/core/policy/memoryBudget.js'
+import { chooseExcessConnection, chooseExcessHoldings, computeCallerLimits, computeProbeLimits, computeUnreadBodyBytes, connectionBytes, isReadAhead, isReadSlowly } from '../src/core/policy/memoryBudget.js'
 import { addReadTime, computeReadPauseMs, computeSliceBytes, isBodyReadOn } from '../src/core/policy/readSlices.js'
 import { countRunnable, maxRequestsAhead } from '../src/core/policy/sentAhead.js'
 
@@ -52,6 +52,12 @@
   t.false(isReadAhead(0, limits.heldBytes / 2, limits))
 })
 
+test('only connections that hold much are read slowly, and only while the host holds much', t => {
+  t.true(isReadSlowly(300_000, limits.heldBytes / 2, limits))
+  t.false(isReadSlowly(30_000, limits.heldBytes, limits))
+  t.false(isReadSlowly(600_000, 600_000, limits))
+})
+
 test('chunks of one byte count as the objects that they become, ordinary chunks as their bytes', t => {
   t.true(computeUnreadBodyBytes(6000, 1000) > 100_000)
   t.true(computeUnreadBodyBytes(16_392, 16_384) < 17_000)
