Load of backend servers is part of the answer's event; wall clock and measuring only on demand

Each answer of a server that reports load posted an event of its own, each event read the wall clock, and connections were measured ten times a second on idle servers.

Change: the load rides in the events of the answer; marks, pauses and coldness are still posted at once. The wall clock is read with an event only while the host holds or deals shares of cold servers. Connections are measured only while one is answering or holds more than an idle one. The fake timers of callerLimits.spec follow the new interface with the same checks.

--- a/src/core/gateway/coldAdmission.ts
+++ b/src/core/gateway/coldAdmission.ts
@@ -130,6 +130,11 @@
   }
 }
 
+/** Whether this host holds or deals shares, so that a suspension must be noticed before the next event is reduced. */
+export function hasColdShares ({ cold, granting }: GatewayState): boolean {
+  return cold.shares.size > 0 || granting.coldDealing.shares.size > 0
+}
+
 /** Counts the valid shares of this host. */
 export function countColdShares ({ cold, reducedAt }: GatewayState): number {
   let count = 0
--- a/src/core/gateway/events.ts
+++ b/src/core/gateway/events.ts
@@ -27,6 +27,9 @@
 /** Load that a backend server reported, with the time since then, in milliseconds. */
 export type AgedLoad = ReportedLoad & { ageMs: number }
 
+/** Load that one instance of a backend server reported with an answer. It is part of the answer's event, since nearly every answer of such servers has one. */
+export type AnswerLoad = { backend: string, startedAt: number | undefined, load: ReportedLoad }
+
 /** What a host learned from answers of one instance of a backend server, with the time since then, in milliseconds. */
 export type BackendMark = { id: string, startedAt: number, ageMs: number, isLeaving: boolean, coldMs: number }
 
@@ -131,8 +134,8 @@
   | { kind: 'tick', now: number, wall: number }
   | { kind: 'request-arrived', now: number, id: string, head: RequestHead }
   | { kind: 'caller-gone', now: number, id: string }
-  | { kind: 'not-run-answered', now: number, id: string, attempt: number, status: number }
-  | { kind: 'answer-whole', now: number, id: string, attempt: number, status: number, firstByteAt: number }
+  | { kind: 'not-run-answered', now: number, id: string, attempt: number, status: number, reported?: AnswerLoad | undefined }
+  | { kind: 'answer-whole', now: number, id: string, attempt: number, status: number, firstByteAt: number, reported?: AnswerLoad | undefined }
   | { kind: 'answer-streaming', now: number, id: string, attempt: number, status: number }
   | { kind: 'answer-cut', now: number, id: string, attempt: number }
   | { kind: 'send-failed', now: number, id: string, attempt: number, failure: SendFailure }
--- a/src/core/gateway/reduceGateway.ts
+++ b/src/core/gateway/reduceGateway.ts
@@ -31,7 +31,7 @@
 import { applyFoundPlacement, applyRecoveryReport, applyRestores } from './restoredStore.js'
 import { buildRouteIndex } from './routing.js'
 import { applySuspension, recordKnownAsOf } from './storeFreshness.js'
-import { applyReportedSignals, handleSignals } from './signalHandling.js'
+import { applyAnswerLoad, applyReportedSignals, handleSignals } from './signalHandling.js'
 import { countRestores } from './storeRestores.js'
 import { advanceStop, handleCallersClosed, startStop } from './stopping.js'
 
@@ -61,8 +61,12 @@
     case 'tick': return tickGateway(work, rules)
     case 'request-arrived': return acceptRequest(work, event, rules)
     case 'caller-gone': return dropRequest(work, event.id)
-    case 'not-run-answered': return handleNotRun(work, event, rules)
-    case 'answer-whole': return handleAnswer(work, event)
+    case 'not-run-answered':
+      applyAnswerLoad(work, event.reported)
+      return handleNotRun(work, event, rules)
+    case 'answer-whole':
+      applyAnswerLoad(work, event.reported)
+      return handleAnswer(work, event)
     case 'answer-streaming': return handleAnswerStart(work, event)
     case 'answer-cut': return handleTruncatedAnswer(work, event, rules)
     case 'stray-bytes-read': return handleStrayBytes(work, event.backend)
--- a/src/core/gateway/signalHandling.ts
+++ b/src/core/gateway/signalHandling.ts
@@ -1,4 +1,4 @@
-import type { BackendMark, FleetLoad, GatewayEvent, LoadReport } from './events.js'
+import type { AnswerLoad, BackendMark, FleetLoad, GatewayEvent, LoadReport } from './events.js'
 import type { LeavingMark } from './leavingMarks.js'
 import type { Backend, GatewayWork } from './state.js'
 import { applyPause } from './backendPauses.js'
@@ -23,6 +23,14 @@
   if (signals.isLeaving) addMark(work, backend, { at: state.now, isOwn: true })
 }
 
+/** Applies the load that a backend server reported with an answer, before the answer itself. */
+export function applyAnswerLoad ({ state }: GatewayWork, reported: AnswerLoad | undefined): void {
+  if (reported === undefined) return
+  const backend = state.backends.get(reported.backend)
+  if (backend === undefined || (reported.startedAt !== undefined && reported.startedAt !== backend.startedAt)) return
+  recordReportedLoad(state, backend, reported.load)
+}
+
 /** Applies what a host reported about backend servers, at the granting host or at the collector of its zone. */
 export function applyReportedSignals (work: GatewayWork, report: LoadReport): void {
   const { state } = work
--- a/src/runtime/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -11,7 +11,7 @@
 /** Time for which a new connection may still send its first request after closing has begun, in milliseconds: a round trip between regions and some processor time. */
 const firstRequestGraceMs = 150
 /** Interval at which what connections hold is measured anew, in milliseconds; what is read from callers is counted at once. */
-const measureIntervalMs = 100
+export const measureIntervalMs = 100
 /** Time after which a connection is closed when its caller reads nothing of an answer, in milliseconds: longer than the longest deadlines of callers that wait for the answer. */
 const unreadTimeoutMs = 20_000
 
@@ -137,6 +137,7 @@
   const updateHeld = (connection: Connection) => {
     if (connection.isClosed || !connections.has(connection.socket)) return
     setHeld(connection, countConnectionBytes(connection))
+    if (connection.isAnswering || connection.heldBytes > connectionBytes) scheduleMeasuring()
     shed()
   }
   const dropEntries = (connection: Connection, from: number) => {
@@ -214,8 +215,16 @@
       connection.reading.advance()
     }
   }
-  const stopMeasuring = timers.subscribe(measureIntervalMs, measureAll)
-  server.once('close', stopMeasuring)
+  let stopMeasuring: (() => void) | undefined
+  // Idle connections need no measuring, and each timer wakes the process.
+  const scheduleMeasuring = () => {
+    stopMeasuring ??= timers.schedule(measureIntervalMs, () => {
+      stopMeasuring = undefined
+      measureAll()
+      if ([...connections.values()].some(connection => connection.isAnswering || connection.heldBytes > connectionBytes)) scheduleMeasuring()
+    })
+  }
+  server.once('close', () => stopMeasuring?.())
   return {
     queueRequest: (request, response, queued) => {
       const connection = connections.get(request.socket)
--- a/src/runtime/gateway/backendSender.ts
+++ b/src/runtime/gateway/backendSender.ts
@@ -1,6 +1,6 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
-import type { GatewayEvent, SendFailure } from '../../core/gateway/events.js'
+import type { AnswerLoad, GatewayEvent, SendFailure } from '../../core/gateway/events.js'
 import type { TimerService } from '../timerService.js'
 import type { BackendConnections } from './backendConnections.js'
 import type { GatewayExchange, SendAttempt } from './exchanges.js'
@@ -183,8 +183,8 @@
       fail(failure)
       return
     }
-    postSignals(received, effect, options)
-    readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool })
+    const reported = readSignals(received, effect, options)
+    readAnswer(received, exchange, sendAttempt, { post, fail, options, request, pool, reported })
   })
 }
 
@@ -198,11 +198,19 @@
   }
 }
 
-/** Posts what a backend server says about itself in the head of an answer, so that it is known before the answer's own event. */
-function postSignals (response: IncomingMessage, effect: SendEffect, { wire, timers, post }: BackendSenderOptions): void {
+/**
+ * Reads what a backend server says about itself in the head of an answer. What keeps requests from it is posted at once, so that it is
+ * known before the answer's own event; its load is returned and becomes part of that event.
+ */
+function readSignals (response: IncomingMessage, effect: SendEffect, { wire, timers, post }: BackendSenderOptions): AnswerLoad | undefined {
   const isShed = response.statusCode === 503 && response.headers[wire.headers.notRun.toLowerCase()] !== undefined
   const signals = decodeBackendSignals({ headers: response.headers, isShed }, wire.headers)
-  if (signals !== undefined) post({ kind: 'signals-read', now: timers.clock.now(), backend: effect.backend, startedAt: effect.startedAt, signals })
+  if (signals === undefined) return undefined
+  const { load, ...urgent } = signals
+  if (urgent.isLeaving || urgent.pauseMs !== undefined || urgent.coldMs !== undefined) {
+    post({ kind: 'signals-read', now: timers.clock.now(), backend: effect.backend, startedAt: effect.startedAt, signals: { ...urgent, load: undefined } })
+  }
+  return load === undefined ? undefined : { backend: effect.backend, startedAt: effect.startedAt, load }
 }
 
 function postStrayBytes (backend: string, options: BackendSenderOptions): void {
@@ -225,6 +233,7 @@
   options: BackendSenderOptions
   request: ClientRequest
   pool: BackendConnections
+  reported: AnswerLoad | undefined
 }
 
 function readAnswer (response: IncomingMessage, exchange: GatewayExchange, sendAttempt: SendAttempt, context: AnswerContext): void {
@@ -264,9 +273,9 @@
     }
     // The backend server answered before the whole body was sent. The rest is never sent, so the connection cannot be reused.
     if (!context.request.writableFinished) context.request.destroy()
-    if (isNotRun) return context.post({ kind: 'not-run-answered', now: clock.now(), id, attempt, status })
+    if (isNotRun) return context.post({ kind: 'not-run-answered', now: clock.now(), id, attempt, status, reported: context.reported })
     sendAttempt.answer = { status, headers, first: Buffer.concat(buffered), rest: undefined, framing, isWhole }
-    context.post({ kind: 'answer-whole', now: clock.now(), id, attempt, status, firstByteAt })
+    context.post({ kind: 'answer-whole', now: clock.now(), id, attempt, status, firstByteAt, reported: context.reported })
   }
   response.on('data', onData)
   response.on('end', onEnd)
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -15,7 +15,7 @@
 import { chooseGatewayLane } from '../../core/gateway/eventLane.js'
 import { computeExpiryGraceMs } from '../../core/gateway/backends.js'
 import { gatewayEventNumbers } from '../../core/gateway/effects.js'
-import { countColdBackends, countColdShares } from '../../core/gateway/coldAdmission.js'
+import { countColdBackends, countColdShares, hasColdShares } from '../../core/gateway/coldAdmission.js'
 import { countPauses } from '../../core/gateway/backendPauses.js'
 import { countMarks } from '../../core/gateway/leavingMarks.js'
 import { buildLoadAnswer, countReportingHosts } from '../../core/gateway/loadExchange.js'
@@ -182,7 +182,7 @@
   const program = startProgram<GatewayState, GatewayEvent, GatewayEffect>({
     state,
     reduce: (current, event) => {
-      const step = reduceGateway(current, event, parts.rules, clock.now(), clock.wall())
+      const step = reduceGateway(current, event, parts.rules, clock.now(), hasColdShares(current) ? clock.wall() : undefined)
       ticks.update()
       return step
     },
--- a/tests/callerLimits.spec.ts
+++ b/tests/callerLimits.spec.ts
@@ -3,7 +3,7 @@
 import test from 'ava'
 import { createServer } from 'node:http'
 import { computeCallerLimits } from '../src/core/policy/memoryBudget.js'
-import { createCallerConnections } from '../src/runtime/callerConnections.js'
+import { createCallerConnections, measureIntervalMs } from '../src/runtime/callerConnections.js'
 import { waitFor } from './support/platform/platformFleet.js'
 import { openCaller } from './support/platform/rawCaller.js'
 
@@ -15,11 +15,11 @@
   const server = createServer()
   const timers = {
     clock: { now: () => at, wall: () => 0 },
-    subscribe: (_: number, notify: (now: number) => void) => {
-      measure = () => notify(at)
+    subscribe: () => () => {},
+    schedule: (ms: number, notify: () => void) => {
+      if (ms === measureIntervalMs) measure = notify
       return () => {}
     },
-    schedule: () => () => {},
     close: () => {}
   }
   const connections = createCallerConnections(server, { timers, limits, notifyClosed: reason => { closed.push(reason) } })
