--- a/tests/callerLimits.spec.ts
+++ b/tests/callerLimits.spec.ts
@@ -16,8 +16,8 @@
   const timers = {
     clock: { now: () => at, wall: () => 0 },
     subscribe: () => () => {},
-    schedule: (ms: number, notify: () => void) => {
-      if (ms === measureIntervalMs) measure = notify
+    schedule: (ms: number, notify: (now: number) => void) => {
+      if (ms === measureIntervalMs) measure = () => notify(at)
       return () => {}
     },
     close: () => {}
