Shedding by cost spares late requests of the same priority

Change: only requests of a lower priority leave slots; late ones of the same priority get free slots, as before.

--- a/src/core/gateway/overloadPolicy.ts
+++ b/src/core/gateway/overloadPolicy.ts
@@ -11,8 +11,8 @@
 /** Weight of a new sample in the slot time of a route. */
 const workSampleWeight = 0.05
 
-/** The most costly recent refusal for want of capacity: `cost` as computed by `computeRefusalCost`. */
-export type Shortage = { cost: number, at: number }
+/** The most costly recent refusal for want of capacity: `cost` as computed by `computeRefusalCost`, and the priority of the request. */
+export type Shortage = { cost: number, priority: number, at: number }
 
 /**
  * Computes what it costs callers to refuse a request now, for each millisecond of a slot that it needs: by its priority, by
@@ -29,16 +29,16 @@
 
 /**
  * Computes up to how many requests in flight a backend server takes this request. Load answered: more requests than a server's
- * slots and queue can serve, of several kinds, or of one kind with some that are late already. While requests that cost
- * callers more were refused here recently, those that cost less fill only a part of the slots, in proportion to their cost,
- * but for the few that are exempt.
+ * slots and queue can serve, of several priorities. While requests that cost callers more were refused here recently, those of
+ * lower priority fill only a part of the slots, in proportion to their cost, but for the few that are exempt. Requests of the same
+ * priority that are late get free slots only (`admitRequest`); slots kept free from them as well would stay unused between arrivals.
  */
 export function computeSlotLimit (state: GatewayState, request: GatewayRequest, backend: Backend, earliestMs: number): number {
   const { shortage } = backend
   if (shortage === undefined || request.isExempt === true || state.now - shortage.at >= shortageMs) return Infinity
+  if (request.route.priority <= shortage.priority) return Infinity
   const share = computeRefusalCost(state, request, earliestMs) / shortage.cost
-  // Costs of one kind of request differ a little, by the estimates of its work.
-  return share > 0.9 ? Infinity : Math.max(1, backend.slots * share)
+  return share >= 1 ? Infinity : Math.max(1, backend.slots * share)
 }
 
 /** Takes a turn of a route's exemptions: whether its next request is admitted by capacity alone. */
@@ -54,7 +54,7 @@
   const { shortage } = backend
   if (cost === 0) return
   if (shortage !== undefined && state.now - shortage.at < shortageMs && cost < shortage.cost * 0.9) return
-  backend.shortage = { cost, at: state.now }
+  backend.shortage = { cost, priority: request.route.priority, at: state.now }
 }
 
 /** Records for how long a request occupied a slot, for the estimate of its route's work, in milliseconds. */
