review: uploads in chunks of one byte leave new connections without an answer

Cause: a turn of each connection is bounded, not of all together; each turn parses a slice of each connection, also of callers that have gone, and a new connection needs several turns.

Nothing is fixed.

--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -9,6 +9,12 @@
 
 export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
 export const hasTrouble = process.env.TROUBLE !== '0'
+/** An exception of a stand-in is no broken rule: the case could not run. All that was started is ended, also when the case is stopped. */
+process.on('uncaughtException', error => {
+  console.error(error)
+  cleanUp().finally(() => process.exit(2))
+})
+for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => { cleanUp().finally(() => process.exit(2)) })
 const startedAt = Date.now()
 const directory = mkdtempSync(join(tmpdir(), 'review-2-'))
 const cleanups = []
@@ -433,7 +439,7 @@
     request.on('data', part => parts.push(part))
     request.on('end', () => {
       const body = Buffer.concat(parts)
-      if (request.url.startsWith('/-/')) takeCall(request, response, body.toString())
+      if (request.url === '/-/grant' || request.url === '/-/release') takeCall(request, response, body.toString())
       else serve(request, response, body)
     })
   })
