The admin port has limits of its own: clients of it no longer end a process

Callers saw: ten clients that sent requests for the metrics ahead and read no answer ended a gateway, a router and a controller (out of memory); forty at the readiness path, the status or an unknown path ended a router and a controller, and some gateways. Orders were not answered meanwhile.

Cause: the admin server was a plain server of Node.js: nothing bounded requests sent ahead, answers unread, connections, or the work of answers, of which a page of metrics takes milliseconds each.

Change: it has the connections of the servers for callers and probes, with limits of its own from memory-mb and max-descriptors (a quarter of the callers' bytes; 4 to 64 connections), which the controller now has too. With TLS, unfinished handshakes are bounded in number and time. A body sent to the port closes the connection after the answer.

The limits of the controller's settings are lowered only here, where it has them.

--- a/src/core/policy/memoryBudget.ts
+++ b/src/core/policy/memoryBudget.ts
@@ -12,18 +12,20 @@
 const readAheadShare = 0.5
 /** Largest part of the limit that one connection may hold before no more is read from it. */
 const connectionShare = 0.125
-/** Share of a process's file descriptors that are for connections of callers; the others are for backend servers, hosts, the store and probes. */
+/** Share of a process's file descriptors that are for connections of callers; the others are for backend servers, hosts, the store, probes and operators. */
 const callerDescriptorShare = 0.5
-/** The same for the connections of probes. */
-const probeDescriptorShare = 1 / 16
-/** Number of connections of probes that need not be exceeded on a large host; a load balancer keeps a few. */
-const maxProbeConnections = 64
-/** Number of connections of probes that a host with few descriptors accepts. */
-const minProbeConnections = 4
+/** The same for the connections of probes, and for those of operators. */
+const serviceDescriptorShare = 1 / 16
+/** Number of such connections that need not be exceeded on a large host; load balancers, operators and collectors of metrics keep a few. */
+const maxServiceConnections = 64
+/** Number of such connections that a host with few descriptors accepts. */
+const minServiceConnections = 4
 /** Limit of what the server for probes holds, as a share of the limit of the process. */
 const probeHeldShare = 1 / 16
-/** Largest part of that limit that one connection of probes may hold before no more is read from it: more than the requests that may be sent ahead take. */
-const probeConnectionShare = 0.25
+/** The same for the server for operators, whose answers list all backend servers. */
+const adminHeldShare = 1 / 4
+/** Largest part of such a limit that one connection may hold before no more is read from it: more than the requests that may be sent ahead take. */
+const serviceConnectionShare = 0.25
 
 /** Bytes of the objects of one open connection without requests: socket, parser and records. */
 export const connectionBytes = 6 * 1024
@@ -58,10 +60,19 @@
 
 /** Computes the limits of the server for probes, which are apart from those for callers so that neither server uses up what the other needs. */
 export function computeProbeLimits (memoryMb: number, descriptors: number): HeldLimits {
+  return computeServiceLimits(memoryMb, descriptors, probeHeldShare)
+}
+
+/** Computes the limits of the server for operators and metrics, which are apart from the others for the same reason. */
+export function computeAdminLimits (memoryMb: number, descriptors: number): HeldLimits {
+  return computeServiceLimits(memoryMb, descriptors, adminHeldShare)
+}
+
+function computeServiceLimits (memoryMb: number, descriptors: number, share: number): HeldLimits {
   const { heldBytes } = computeCallerLimits(memoryMb, descriptors)
-  const connections = Math.max(minProbeConnections, Math.min(maxProbeConnections, Math.floor(descriptors * probeDescriptorShare)))
-  const limit = Math.floor(heldBytes * probeHeldShare)
-  return { heldBytes: limit, connectionBytes: Math.floor(limit * probeConnectionShare), unreadBytes: Math.floor(limit * probeConnectionShare / 2), connections }
+  const connections = Math.max(minServiceConnections, Math.min(maxServiceConnections, Math.floor(descriptors * serviceDescriptorShare)))
+  const limit = Math.floor(heldBytes * share)
+  return { heldBytes: limit, connectionBytes: Math.floor(limit * serviceConnectionShare), unreadBytes: Math.floor(limit * serviceConnectionShare / 2), connections }
 }
 
 /** Computes what a request in progress costs besides its body and answer, in bytes. `headCharacters`: length of its target and headers. */
--- a/src/demo/localFleet.ts
+++ b/src/demo/localFleet.ts
@@ -78,7 +78,7 @@
     return expectRunning(await startRouter({ ...commonSettings, router }, { ...programOptions, rules: buildRules(hashKey) }))
   }
   const startOneController = async (name: string): Promise<RunningController> => {
-    const controller = { name, listen: anyLoopbackAddress, 'admin-listen': anyLoopbackAddress }
+    const controller = { name, listen: anyLoopbackAddress, 'admin-listen': anyLoopbackAddress, 'memory-mb': 350, 'max-descriptors': 4096 }
     return expectRunning(await startController({ ...commonSettings, controller }, { ...programOptions, rules: buildControllerRules(hashKey) }))
   }
   const documentText = buildDocumentText(backends.map((backend, index) => ({
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -47,7 +47,9 @@
   controller: z.strictObject({
     name: buildTextField(namePattern, nameAllowed, 'Unique name of this controller'),
     listen: addressField('Address for reports of routers'),
-    'admin-listen': addressField('Address for operators, metrics collection and probes')
+    'admin-listen': addressField('Address for operators, metrics collection and probes'),
+    'memory-mb': buildNumberField(32, 1_048_576, 'Memory available to this process, in MB; a part of it bounds what is held for clients of its ports').default(350),
+    'max-descriptors': buildNumberField(64, 10_000_000, 'File descriptors available to this process; a part of them bounds the number of connections').default(4096)
   }),
   store: storeSchema,
   hosts: hostsSchema.optional(),
--- a/src/runtime/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -6,6 +6,7 @@
 import type { ReadTurns } from './readTurns.js'
 import type { TimerService } from './timerService.js'
 import { Server as TcpServer } from 'node:net'
+import { TLSSocket } from 'node:tls'
 import { chooseExcessConnection, chooseExcessHoldings, computeRequestBytes, computeUnreadBodyBytes, connectionBytes, isReadAhead, isReadSlowly } from '../core/policy/memoryBudget.js'
 import { countRunnable, maxRequestsAhead } from '../core/policy/sentAhead.js'
 import { readCaller } from './callerReading.js'
@@ -25,6 +26,11 @@
 /** Reason with which a request is refused when its connection is closed, where that can be told. */
 const shortageByCloseReason: Partial<Record<CallerCloseReason, ShortageReason>> = { memory: 'memory-short', processor: 'processor-short' }
 
+/** Servers of a process that have clients of their own; each is a label value of a counter. */
+export const callerServerNames = ['callers', 'probes', 'admin'] as const
+/** `callers`: requests for backend servers; `probes`: readiness probes of load balancers; `admin`: operators and collectors of metrics. */
+export type CallerServerName = typeof callerServerNames[number]
+
 /** Reasons for which a request that is being read is refused. */
 export type ShortageReason = Extract<RefusalReason, 'memory-short' | 'processor-short'>
 
@@ -74,6 +80,8 @@
   limits: HeldLimits
   /** Turns of reading, which all servers of the process share. */
   readTurns: ReadTurns
+  /** Event of the server that opens a connection: `secureConnection` with TLS; `connection` if absent. */
+  connectionEvent?: 'connection' | 'secureConnection'
   notifyClosed: (reason: CallerCloseReason, closed: { heldBytes: number, requests: number, answers: number }) => void
 }
 
@@ -132,7 +140,7 @@
     // What a closed connection holds no longer counts, or others would be closed for it until its end is noticed.
     setHeld(connection, 0)
     if (first === undefined) connection.socket.destroy()
-    else connection.socket.resetAndDestroy()
+    else resetSocket(connection.socket)
   }
   const setHeld = (connection: Connection, bytes: number) => {
     heldBytes += bytes - connection.heldBytes
@@ -177,7 +185,7 @@
     // Requests behind an answer that closes the connection are dropped; to the caller they count as not read.
     if (connection.socket.destroyed || connection.socket.writableEnded) return dropEntries(connection, 0)
     if (connection.entries[0]?.isCut === true) {
-      connection.socket.resetAndDestroy()
+      resetSocket(connection.socket)
       return
     }
     if (connection.isAnswering) advance(connection)
@@ -211,7 +219,7 @@
     })
     if (excess !== undefined) closeExcess(excess, 'connections')
   }
-  server.on('connection', openConnection)
+  server.on(options.connectionEvent ?? 'connection', openConnection)
   const measureAll = () => {
     const now = clock.now()
     for (const connection of connections.values()) {
@@ -219,7 +227,7 @@
       updateHeld(connection)
       if (isUnread(connection, now)) {
         // One that was closed already with a refusal may not have read that either.
-        if (connection.isClosed) connection.socket.resetAndDestroy()
+        if (connection.isClosed) resetSocket(connection.socket)
         else closeExcess(connection, 'unread')
         continue
       }
@@ -283,7 +291,7 @@
     cut: response => {
       const found = entriesByResponse.get(response)
       if (found === undefined || response.socket !== null) {
-        response.socket?.resetAndDestroy()
+        if (response.socket !== null) resetSocket(response.socket)
         return
       }
       found.entry.isCut = true
@@ -315,6 +323,13 @@
   }
 }
 
+/** Closes a connection so that its caller sees an error instead of an end. */
+function resetSocket (socket: Socket): void {
+  // Node.js resets only plain sockets; the end of a TLS connection without its closing message is an error to the peer.
+  if (socket instanceof TLSSocket) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 function countCharacters (request: IncomingMessage): number {
   let characters = (request.url ?? '').length
   for (const text of request.rawHeaders) characters += text.length
--- a/src/runtime/controllerProgram.ts
+++ b/src/runtime/controllerProgram.ts
@@ -9,6 +9,7 @@
 import { Server } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import { buildControllerState, controllerEventNumbers } from '../core/controller/controllerState.js'
+import { computeAdminLimits } from '../core/policy/memoryBudget.js'
 import { reduceController } from '../core/controller/reduceController.js'
 import { ControlService } from '../protocol/gen/peer.js'
 import { decodeRouterReport } from '../protocol/peerCodec.js'
@@ -18,11 +19,13 @@
 import { watchHostList } from './hostListPoller.js'
 import { runCampaign } from './leadership.js'
 import { listenGrpc, listenHttp } from './listen.js'
-import { runtimeEventNumbers } from './log.js'
+import { createIntervalLog, runtimeEventNumbers } from './log.js'
 import { createControllerMetrics } from './metrics.js'
 import { startProgram } from './program.js'
+import { createReadTurns } from './readTurns.js'
 import { createStoreClient } from './storeClient.js'
 import { watchStore } from './storeFollower.js'
+import { processTurns } from './turns.js'
 
 /** Time between two ticks of a controller, in milliseconds. */
 const tickIntervalMs = 100
@@ -93,6 +96,8 @@
     onChange: applyChange,
     onHealth: isUp => log(isUp ? runtimeEventNumbers.storeUp : runtimeEventNumbers.storeDown, isUp ? 'storeUp' : 'storeDown', {})
   })
+  const { 'memory-mb': memoryMb, 'max-descriptors': descriptors } = settings.controller
+  const logClosedCaller = createIntervalLog(timers.clock, log, 'callerClosed')
   const controlServer = new Server()
   const controlService: ControlServer = {
     report: (call, callback) => {
@@ -102,10 +107,14 @@
   }
   controlServer.addService(ControlService, controlService)
   const adminServer = createAdminServer({
+    timers,
+    limits: computeAdminLimits(memoryMb, descriptors),
+    readTurns: createReadTurns({ ...processTurns, clock: timers.clock }),
+    notifyClosed: (reason, closed) => logClosedCaller({ reason, server: 'admin', ...closed }),
     registry: metrics.registry,
     isReady: () => program.getState().fleet.revision > 0 || program.getState().leading,
     readStatus: () => readControllerStatus(program.getState())
-  }, credentials, timers)
+  }, credentials)
   const ports = await Promise.all([
     listenGrpc(controlServer, settings.controller.listen, credentials.server),
     listenHttp(adminServer, settings.controller['admin-listen'])
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -1,13 +1,13 @@
 import type { ChangeKind } from '../../core/gateway/changeLags.js'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent } from '../../core/gateway/events.js'
-import type { CallerCloseReason } from '../callerConnections.js'
+import type { CallerCloseReason, CallerServerName } from '../callerConnections.js'
 import type { StoreCallReason } from './storeCallCounts.js'
 import type { RefusalReason, RetryReason } from '../../core/domain/outcome.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { changeLagBoundsMs } from '../../core/gateway/changeLags.js'
 import { refusalReasons, retryReasons } from '../../core/domain/outcome.js'
-import { callerCloseReasons } from '../callerConnections.js'
+import { callerCloseReasons, callerServerNames } from '../callerConnections.js'
 import { storeCallReasons } from './storeCallCounts.js'
 
 /** Bounds of the latency histogram, in milliseconds: closely spaced around the latency targets of lookups and bookings. */
@@ -37,7 +37,7 @@
   countStoreCall: (reason: StoreCallReason) => void
   countLeftOutLine: (event: string) => void
   countCutRequest: () => void
-  countClosedCaller: (reason: CallerCloseReason, server: 'callers' | 'probes') => void
+  countClosedCaller: (reason: CallerCloseReason, server: CallerServerName) => void
   countWork: (type: WorkType, kind: WorkKind, ms: number) => void
   countLost: (kind: GatewayEvent['kind']) => void
   observeAnswer: (service: string, ms: number) => void
@@ -78,7 +78,7 @@
   for (const reason of refusalReasons) refusals.inc({ reason, outcome: 'not-run' }, 0)
   for (const reason of retryReasons) retries.inc({ reason }, 0)
   for (const reason of callerCloseReasons) {
-    for (const server of ['callers', 'probes']) closedCallers.inc({ reason, server }, 0)
+    for (const server of callerServerNames) closedCallers.inc({ reason, server }, 0)
   }
   for (const reason of storeCallReasons) storeCalls.inc({ reason }, 0)
   return {
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -5,7 +5,7 @@
 import type { GatewayState } from '../../core/gateway/state.js'
 import type { GatewaySettings } from '../../protocol/gatewaySettings.js'
 import type { LogEvent } from '../log.js'
-import type { CallerConnectionsOptions } from '../callerConnections.js'
+import type { CallerConnectionsOptions, CallerServerName } from '../callerConnections.js'
 import type { TimerService } from '../timerService.js'
 import type { EarlyRefusal } from './callerServer.js'
 import type { GatewayExchanges } from './exchanges.js'
@@ -32,7 +32,7 @@
 import { runtimeEventNumbers } from '../log.js'
 import { startProgram } from '../program.js'
 import { processTurns } from '../turns.js'
-import { computeCallerLimits, computeProbeLimits } from '../../core/policy/memoryBudget.js'
+import { computeAdminLimits, computeCallerLimits, computeProbeLimits } from '../../core/policy/memoryBudget.js'
 import { createBackendSender } from './backendSender.js'
 import { createCallerServer } from './callerServer.js'
 import { createFleetExchange } from './fleetExchange.js'
@@ -121,7 +121,7 @@
     metrics.countRefusal(refusal.reason, 'not-run')
     log(gatewayEventNumbers.requestRefused, 'requestRefused', refusal)
   }
-  const notifyClosed = (server: 'callers' | 'probes'): CallerConnectionsOptions['notifyClosed'] => (reason, closed) => {
+  const notifyClosed = (server: CallerServerName): CallerConnectionsOptions['notifyClosed'] => (reason, closed) => {
     metrics.countClosedCaller(reason, server)
     log(runtimeEventNumbers.callerClosed, 'callerClosed', { reason, server, ...closed })
   }
@@ -201,10 +201,14 @@
     notifyClosed: notifyClosed('probes')
   })
   const admin = createAdminServer({
+    timers,
+    limits: computeAdminLimits(gateway['memory-mb'], gateway['max-descriptors']),
+    readTurns,
+    notifyClosed: notifyClosed('admin'),
     registry: metrics.registry,
     isReady: () => isGatewayReady(program.getState()),
     readStatus: () => readGatewayStatus(program.getState())
-  }, peerCredentials, timers)
+  }, peerCredentials)
   const listenOutcomes = await Promise.all([
     listenHttp(callerServer.httpServer, gateway.listen),
     listenHttp(probes.httpServer, gateway['probe-listen']),
--- a/src/runtime/gateway/probeServer.ts
+++ b/src/runtime/gateway/probeServer.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CallerConnections, CallerConnectionsOptions } from '../callerConnections.js'
 import { createServer } from 'node:http'
+import { queueBodiless } from '../bodilessRequests.js'
 import { createCallerConnections } from '../callerConnections.js'
 
 /** Time for receiving the head of a probe, in milliseconds; a load balancer gives up sooner. */
@@ -15,23 +16,11 @@
 export function createProbeServer (path: string, isReady: () => boolean, options: CallerConnectionsOptions): ProbeServer {
   const server = createServer({ headersTimeout: headTimeoutMs, requestTimeout: headTimeoutMs, keepAliveTimeout: idleTimeoutMs, requireHostHeader: false })
   const connections = createCallerConnections(server, options)
-  const answer = (request: IncomingMessage, response: ServerResponse) => {
-    const status = request.url === path ? (isReady() ? 200 : 503) : 404
-    // A body is not read.
-    const hasBody = request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0
-    if (hasBody) connections.endBehind(response)
-    response.writeHead(status, { 'Content-Length': 0, ...(hasBody ? { Connection: 'close' } : {}) })
-    response.end()
-  }
   const queue = (request: IncomingMessage, response: ServerResponse) => {
-    request.on('error', () => {})
-    response.on('error', () => {})
-    connections.queueRequest(request, response, {
-      accept: () => answer(request, response),
-      abandon: () => {},
-      isIdempotent: () => false,
-      countHeldBytes: () => 0,
-      refuse: () => false
+    queueBodiless(request, response, connections, headers => {
+      const status = request.url === path ? (isReady() ? 200 : 503) : 404
+      response.writeHead(status, { 'Content-Length': 0, ...headers })
+      response.end()
     })
   }
   for (const event of ['request', 'checkContinue', 'checkExpectation']) server.on(event, queue)
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -1,9 +1,9 @@
 import type { RouterCount } from '../core/router/routerEffects.js'
 import type { Rank } from '../core/domain/rank.js'
-import type { CallerCloseReason } from './callerConnections.js'
+import type { CallerCloseReason, CallerServerName } from './callerConnections.js'
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import { refusalReasons, retryReasons } from '../core/domain/outcome.js'
-import { callerCloseReasons } from './callerConnections.js'
+import { callerCloseReasons, callerServerNames } from './callerConnections.js'
 
 /** Bucket bounds of the latency histogram, in milliseconds. */
 const latencyBoundsMs = [1, 2, 5, 10, 15, 25, 50, 100, 250, 500, 1000, 2500, 5000, 30_000]
@@ -14,7 +14,7 @@
   count: (count: RouterCount) => void
   observeLatency: (rank: Rank, ms: number) => void
   countMalformedFrame: () => void
-  countClosedCaller: (reason: CallerCloseReason) => void
+  countClosedCaller: (reason: CallerCloseReason, server: CallerServerName) => void
   setGauges: (gauges: Record<RouterGauge, number>) => void
 }
 
@@ -37,7 +37,7 @@
   const requests = new Counter({ name: 'fulmar_requests_total', help: 'Requests of callers, by rank', labelNames: ['rank'], registers: [registry] })
   const dispatches = new Counter({ name: 'fulmar_dispatches_total', help: 'Requests sent to backend servers, by rank', labelNames: ['rank'], registers: [registry] })
   const malformedFrames = new Counter({ name: 'fulmar_peer_rubbish_total', help: 'Frames of peers that made no sense', registers: [registry] })
-  const closedCallers = new Counter({ name: 'fulmar_callers_closed_total', help: 'Connections of callers closed because of a limit, by reason', labelNames: ['reason'], registers: [registry] })
+  const closedCallers = new Counter({ name: 'fulmar_callers_closed_total', help: 'Connections of callers closed because of a limit, by reason and server', labelNames: ['reason', 'server'], registers: [registry] })
   const latency = new Histogram({
     name: 'fulmar_answer_ms',
     help: 'Time from request to the end of its answer, by rank, in milliseconds',
@@ -48,7 +48,9 @@
   const gauges = new Map(routerGauges.map(name => {
     return [name, new Gauge({ name: `fulmar_${name}`, help: `Current ${name.replaceAll('_', ' ')}`, registers: [registry] })]
   }))
-  for (const reason of callerCloseReasons) closedCallers.inc({ reason }, 0)
+  for (const reason of callerCloseReasons) {
+    for (const server of callerServerNames) closedCallers.inc({ reason, server }, 0)
+  }
   for (const reason of refusalReasons) refusals.inc({ reason, outcome: 'not-run' }, 0)
   for (const reason of retryReasons) retries.inc({ reason }, 0)
   const counters = {
@@ -67,7 +69,7 @@
     },
     observeLatency: (rank, ms) => latency.observe({ rank }, ms),
     countMalformedFrame: () => malformedFrames.inc(),
-    countClosedCaller: reason => closedCallers.inc({ reason }),
+    countClosedCaller: (reason, server) => closedCallers.inc({ reason, server }),
     setGauges: values => {
       for (const [name, gauge] of gauges) gauge.set(values[name])
     }
--- a/src/runtime/routerProgram.ts
+++ b/src/runtime/routerProgram.ts
@@ -4,6 +4,7 @@
 import type { RouterEvent } from '../core/router/routerEvents.js'
 import type { RouterRules } from '../core/router/rules.js'
 import type { RouterState } from '../core/router/routerState.js'
+import type { CallerConnectionsOptions, CallerServerName } from './callerConnections.js'
 import type { ExchangeTable } from './exchange.js'
 import type { ListenOutcome } from './listen.js'
 import type { LogEvent } from './log.js'
@@ -13,7 +14,7 @@
 import { Server } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import { eventNumbers } from '../core/router/routerEffects.js'
-import { computeCallerLimits } from '../core/policy/memoryBudget.js'
+import { computeAdminLimits, computeCallerLimits } from '../core/policy/memoryBudget.js'
 import { isIdempotentRequest } from '../core/router/ingress.js'
 import { reduceRouter } from '../core/router/reduceRouter.js'
 import { buildRouterState } from '../core/router/routerState.js'
@@ -149,6 +150,11 @@
     })
   }
 
+  const logClosedCaller = createIntervalLog(timers.clock, log, 'callerClosed')
+  const notifyClosed = (server: CallerServerName): CallerConnectionsOptions['notifyClosed'] => (reason, closed) => {
+    metrics.countClosedCaller(reason, server)
+    logClosedCaller({ reason, server, ...closed })
+  }
   const peerServer = new Server({ 'grpc.max_receive_message_length': maxPeerMessageBytes })
   const peerService = createPeerService({
     self: router,
@@ -163,7 +169,7 @@
   peerServer.addService(PeerService, peerService.service)
   const isReady = () => program.getState().phase === 'serving'
   const callerLimits = computeCallerLimits(settings.router['memory-mb'], settings.router['max-descriptors'])
-  const logClosedCaller = createIntervalLog(timers.clock, log, 'callerClosed')
+  const readTurns = createReadTurns({ ...processTurns, clock: timers.clock })
   const callerServer = createCallerServer({
     timers,
     exchanges,
@@ -171,21 +177,22 @@
     idPrefix: 'c',
     isReady,
     limits: callerLimits,
-    readTurns: createReadTurns({ ...processTurns, clock: timers.clock }),
-    notifyClosed: (reason, closed) => {
-      metrics.countClosedCaller(reason)
-      logClosedCaller({ reason, ...closed })
-    },
+    readTurns,
+    notifyClosed: notifyClosed('callers'),
     isIdempotent: request => isIdempotentRequest(program.getState(), request),
     countRefusal: reason => metrics.count({ metric: 'refusals', reason, outcome: 'not-run' })
   })
   const adminServer = createAdminServer({
+    timers,
+    limits: computeAdminLimits(settings.router['memory-mb'], settings.router['max-descriptors']),
+    readTurns,
+    notifyClosed: notifyClosed('admin'),
     registry: metrics.registry,
     isReady,
     readStatus: () => readRouterStatus(program.getState()),
     explain: (service, key) => explainKey(program.getState(), service, key, rules),
     drain: () => drain()
-  }, credentials, timers)
+  }, credentials)
 
   const ports = await Promise.all([
     listenHttp(callerServer.server, settings.router.listen),
--- a/tests/crowds/crowdRouter.ts
+++ b/tests/crowds/crowdRouter.ts
@@ -53,7 +53,7 @@
   const lowered = [`memory-mb = ${limits.memoryMb}`, `max-descriptors = ${limits.descriptors}`]
   const heap = [`--max-old-space-size=${limits.heapMb}`]
   const controls = { callers: '', peers: await findAddress(), admin: await findAddress() }
-  const controller = { ...start('fulmarController', 'controller', ['[controller]', 'name = controller-1', `listen = ${controls.peers}`, `admin-listen = ${controls.admin}`, ...common], heap), ...controls }
+  const controller = { ...start('fulmarController', 'controller', ['[controller]', 'name = controller-1', `listen = ${controls.peers}`, `admin-listen = ${controls.admin}`, ...lowered, ...common], heap), ...controls }
   const routers: CrowdTarget[] = []
   for (const [index, zone] of ['tbilisi-1', 'imereti-1', 'adjara-1'].entries()) {
     const addresses = { callers: await findAddress(), peers: await findAddress(), admin: await findAddress() }
