gRPC ports bound streams, connections and unfinished messages

Callers saw: 20 clients with 200 HTTP/2 streams each, every one with the first 64 kB of a message of 3 MB, took a gateway to 357 MB and a controller to 369 MB, and ended a router at 252 MB (bound 140 MB). Orders were answered until then.

Cause: the gRPC servers had no limits. HTTP/2 holds what has arrived of a message until the rest does, on every stream of every connection.

Change: 16 streams a connection. The system's own listener accepts the connections and hands them to the gRPC server (createConnectionInjector), so that it can count them: a quarter of the descriptors, and 5 % of memory-mb for what has arrived since the last whole message of each. Over that, connections are reset, those first that hold most for each message that they have sent.

Not bounded: a client that ends small messages on one stream while it holds others open counts only what came since the last of them, at most 4 MB for each of 16 streams.

--- a/src/core/policy/memoryBudget.ts
+++ b/src/core/policy/memoryBudget.ts
@@ -1,5 +1,5 @@
 /** Bytes of a megabyte, as in `memory-mb`. */
-const megabyte = 1_048_576
+export const megabyte = 1_048_576
 /** Share of a process's memory that it may hold for callers and backend servers. The rest is for the program, its records of the fleet, and memory that is no longer used but not collected yet. */
 const heldShare = 0.1
 /** Share of what is held to which it is reduced once it exceeds its limit, so that not every further byte closes a connection. */
@@ -92,7 +92,7 @@
  * Chooses the connections to close when more than the limit is held, under a crowd of callers that send much and read little:
  * those that hold most for each answer that they have had, until what is left is below the limit with a margin.
  */
-export function chooseExcessHoldings<Item extends Holding> (holdings: readonly Item[], totalBytes: number, limits: HeldLimits): Item[] {
+export function chooseExcessHoldings<Item extends Holding> (holdings: readonly Item[], totalBytes: number, limits: Pick<HeldLimits, 'heldBytes'>): Item[] {
   if (totalBytes <= limits.heldBytes) return []
   const rank = (each: Item) => each.heldBytes / (1 + each.answers)
   const chosen: Item[] = []
--- a/src/runtime/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -27,8 +27,8 @@
 const shortageByCloseReason: Partial<Record<CallerCloseReason, ShortageReason>> = { memory: 'memory-short', processor: 'processor-short' }
 
 /** Servers of a process that have clients of their own; each is a label value of a counter. */
-export const callerServerNames = ['callers', 'probes', 'admin'] as const
-/** `callers`: requests for backend servers; `probes`: readiness probes of load balancers; `admin`: operators and collectors of metrics. */
+export const callerServerNames = ['callers', 'probes', 'admin', 'peers'] as const
+/** `callers`: requests for backend servers; `probes`: readiness probes of load balancers; `admin`: operators and collectors of metrics; `peers`: other processes of the system. */
 export type CallerServerName = typeof callerServerNames[number]
 
 /** Reasons for which a request that is being read is refused. */
--- a/src/runtime/controllerProgram.ts
+++ b/src/runtime/controllerProgram.ts
@@ -10,6 +10,7 @@
 import { randomBytes } from 'node:crypto'
 import { buildControllerState, controllerEventNumbers } from '../core/controller/controllerState.js'
 import { computeAdminLimits } from '../core/policy/memoryBudget.js'
+import { computePeerLimits } from '../core/policy/peerBudget.js'
 import { reduceController } from '../core/controller/reduceController.js'
 import { ControlService } from '../protocol/gen/peer.js'
 import { decodeRouterReport } from '../protocol/peerCodec.js'
@@ -18,9 +19,10 @@
 import { createPeerCredentials } from './credentials.js'
 import { watchHostList } from './hostListPoller.js'
 import { runCampaign } from './leadership.js'
-import { listenGrpc, listenHttp } from './listen.js'
+import { listenTcp } from './listen.js'
 import { createIntervalLog, runtimeEventNumbers } from './log.js'
 import { createControllerMetrics } from './metrics.js'
+import { createPeerConnections, peerServerOptions } from './peerConnections.js'
 import { startProgram } from './program.js'
 import { createReadTurns } from './readTurns.js'
 import { createStoreClient } from './storeClient.js'
@@ -98,9 +100,15 @@
   })
   const { 'memory-mb': memoryMb, 'max-descriptors': descriptors } = settings.controller
   const logClosedCaller = createIntervalLog(timers.clock, log, 'callerClosed')
-  const controlServer = new Server()
+  const connections = createPeerConnections({
+    timers,
+    limits: computePeerLimits(memoryMb, descriptors),
+    notifyClosed: (reason, closed) => logClosedCaller({ reason, server: 'peers', ...closed })
+  })
+  const controlServer = new Server(peerServerOptions)
   const controlService: ControlServer = {
     report: (call, callback) => {
+      connections.watchMessages(call.getPeer())()
       post({ kind: 'report-received', now: now(), report: decodeRouterReport(call.request) })
       callback(null, { leading: program.getState().leading })
     }
@@ -116,8 +124,8 @@
     readStatus: () => readControllerStatus(program.getState())
   }, credentials)
   const ports = await Promise.all([
-    listenGrpc(controlServer, settings.controller.listen, credentials.server),
-    listenHttp(adminServer, settings.controller['admin-listen'])
+    connections.listen(controlServer, settings.controller.listen, credentials.server),
+    listenTcp(adminServer, settings.controller['admin-listen'])
   ])
   const subscriptions = [timers.subscribe(tickIntervalMs, time => { post({ kind: 'tick', now: time }) })]
   const stop = () => {
@@ -125,6 +133,7 @@
     follower.stop()
     program.stop()
     controlServer.forceShutdown()
+    connections.close()
     adminServer.close()
     adminServer.closeAllConnections()
     store.close()
--- a/src/runtime/gateway/fleetExchange.ts
+++ b/src/runtime/gateway/fleetExchange.ts
@@ -5,6 +5,7 @@
 import type { ViewEntries } from '../../protocol/fleetUpdate.js'
 import type { PeerCredentials } from '../credentials.js'
 import type { ListenOutcome } from '../listen.js'
+import type { PeerConnections } from '../peerConnections.js'
 import type { LogEvent } from '../log.js'
 import type { TimerService } from '../timerService.js'
 import type { FindEarlierValue, RelayedChanges } from '../../core/gateway/storeView.js'
@@ -12,8 +13,8 @@
 import { replaceLargeValues } from '../../core/gateway/storeView.js'
 import { FleetExchangeClient } from '../../protocol/gen/peer.js'
 import { decodePlacementChange, decodeLoadReport, decodeStoreChanges, decodeFleetLoad, encodePlacementChange, encodeLoadReport, encodeStoreChanges, encodeFleetLoad } from '../../protocol/fleetUpdate.js'
-import { listenGrpc } from '../listen.js'
 import { runtimeEventNumbers } from '../log.js'
+import { peerServerOptions } from '../peerConnections.js'
 import { createSharedUpdates } from './sharedUpdates.js'
 
 /** Timeout for the answer to a report, in milliseconds; when it expires, the connection is replaced. */
@@ -28,6 +29,8 @@
 /** Dependencies of the exchange with the granting host. */
 export type FleetExchangeParts = {
   credentials: PeerCredentials
+  /** Connections that other hosts open to this one. */
+  connections: PeerConnections
   timers: TimerService
   post: (event: GatewayEvent) => boolean
   /** Builds the load that answers a host's report; undefined when hosts should not report to this one. */
@@ -107,7 +110,7 @@
     })
   }
   return {
-    listen: address => listenGrpc(fleetServer.server, address, parts.credentials.server),
+    listen: address => parts.connections.listen(fleetServer.server, address, parts.credentials.server),
     report: (address, report, inFlight) => {
       const now = parts.timers.clock.now()
       if (connection !== undefined && connection.address !== address) closeConnection(connection)
@@ -145,6 +148,7 @@
       last?.client.close()
       for (const closeNotice of notices) closeNotice()
       fleetServer.server.forceShutdown()
+      parts.connections.close()
     }
   }
 }
@@ -164,7 +168,7 @@
 
 /** Creates the granting host's end: a server with one stream for each reporting host. */
 function createFleetServer (parts: FleetExchangeParts): { server: Server, publish: FleetExchange['publish'], relay: FleetExchange['relay'] } {
-  const server = new Server()
+  const server = new Server(peerServerOptions)
   const connections = new Map<string, HostConnection>()
   const updates = createSharedUpdates()
   const recordHostBehind = (connection: HostConnection, relayed: RelayedChanges) => {
@@ -215,7 +219,11 @@
           if (current === connection) connections.delete(host)
         }
       }
-      stream.on('data', (message: WireReport) => handleReport(connection, message))
+      const recordMessage = parts.connections.watchMessages(stream.getPeer())
+      stream.on('data', (message: WireReport) => {
+        recordMessage()
+        handleReport(connection, message)
+      })
       stream.on('end', () => {
         removeConnection()
         stream.end()
--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -27,12 +27,14 @@
 import { buildNewerPlacement } from '../../core/gateway/restoredStore.js'
 import { createAdminServer } from '../adminServer.js'
 import { createPeerCredentials } from '../credentials.js'
-import { listenHttp } from '../listen.js'
+import { listenTcp } from '../listen.js'
+import { createPeerConnections } from '../peerConnections.js'
 import { createReadTurns } from '../readTurns.js'
 import { runtimeEventNumbers } from '../log.js'
 import { startProgram } from '../program.js'
 import { processTurns } from '../turns.js'
 import { computeAdminLimits, computeCallerLimits, computeProbeLimits } from '../../core/policy/memoryBudget.js'
+import { computePeerLimits } from '../../core/policy/peerBudget.js'
 import { createBackendSender } from './backendSender.js'
 import { createCallerServer } from './callerServer.js'
 import { createFleetExchange } from './fleetExchange.js'
@@ -154,6 +156,11 @@
     : createPeerCredentials(settings.tls)
   const fleetExchange = createFleetExchange({
     credentials: peerCredentials,
+    connections: createPeerConnections({
+      timers,
+      limits: computePeerLimits(gateway['memory-mb'], gateway['max-descriptors']),
+      notifyClosed: (reason, closed) => notifyClosed('peers')(reason, { ...closed, requests: 0 })
+    }),
     timers,
     post,
     log,
@@ -210,10 +217,10 @@
     readStatus: () => readGatewayStatus(program.getState())
   }, peerCredentials)
   const listenOutcomes = await Promise.all([
-    listenHttp(callerServer.httpServer, gateway.listen),
-    listenHttp(probes.httpServer, gateway['probe-listen']),
+    listenTcp(callerServer.httpServer, gateway.listen),
+    listenTcp(probes.httpServer, gateway['probe-listen']),
     fleetExchange.listen(gateway['peer-listen']),
-    listenHttp(admin, gateway['admin-listen'])
+    listenTcp(admin, gateway['admin-listen'])
   ])
   const [callerOutcome, probeOutcome, peerOutcome, adminOutcome] = listenOutcomes
   if (callerOutcome.kind === 'failed') return callerOutcome
--- a/src/runtime/listen.ts
+++ b/src/runtime/listen.ts
@@ -1,12 +1,12 @@
 import type { Server as GrpcServer, ServerCredentials } from '@grpc/grpc-js'
-import type { Server } from 'node:http'
+import type { Server } from 'node:net'
 import { parseAddress } from '../protocol/documentText.js'
 
 /** Result of opening a port. */
 export type ListenOutcome = { kind: 'listening', address: string } | { kind: 'failed', problem: string }
 
-/** Opens the port of an HTTP server; port 0 selects a free one. */
-export function listenHttp (server: Server, address: string): Promise<ListenOutcome> {
+/** Opens the port of a server; port 0 selects a free one. */
+export function listenTcp (server: Server, address: string): Promise<ListenOutcome> {
   const { host, port } = parseAddress(address)
   return new Promise(resolve => {
     const fail = (error: Error) => resolve({ kind: 'failed', problem: `cannot listen on ${address}: ${error.message}` })
--- a/src/runtime/peerServer.ts
+++ b/src/runtime/peerServer.ts
@@ -4,6 +4,7 @@
 import type { FrameBody } from '../protocol/peerCodec.js'
 import type { AnswerSink, Exchange, ExchangeTable } from './exchange.js'
 import type { CreditedReader, CreditedWriter } from './frameStream.js'
+import type { PeerConnections } from './peerConnections.js'
 import type { TimerService } from './timerService.js'
 import { decodeControl, decodeRequestHead, encodeRefusal } from '../protocol/peerCodec.js'
 import { createCreditedReader, createCreditedWriter, streamWindowBytes } from './frameStream.js'
@@ -14,6 +15,7 @@
 /** Options of the service for peers. */
 export type PeerServerOptions = {
   self: string
+  watchMessages: PeerConnections['watchMessages']
   timers: TimerService
   exchanges: ExchangeTable
   post: (event: RouterEvent) => boolean
@@ -80,7 +82,9 @@
     if (isFinishing && incoming.size === 0) stream.end()
   }
   const now = () => options.timers.clock.now()
+  const recordMessage = options.watchMessages(stream.getPeer())
   stream.on('data', (frame: Frame) => {
+    recordMessage()
     if (stream.writableEnded) return
     const body = frame.body
     if (body === undefined) {
--- a/src/runtime/routerProgram.ts
+++ b/src/runtime/routerProgram.ts
@@ -15,6 +15,7 @@
 import { randomBytes } from 'node:crypto'
 import { eventNumbers } from '../core/router/routerEffects.js'
 import { computeAdminLimits, computeCallerLimits } from '../core/policy/memoryBudget.js'
+import { computePeerLimits } from '../core/policy/peerBudget.js'
 import { isIdempotentRequest } from '../core/router/ingress.js'
 import { reduceRouter } from '../core/router/reduceRouter.js'
 import { buildRouterState } from '../core/router/routerState.js'
@@ -25,10 +26,11 @@
 import { createCallerServer } from './callerServer.js'
 import { createPeerCredentials } from './credentials.js'
 import { watchHostList } from './hostListPoller.js'
-import { listenGrpc, listenHttp } from './listen.js'
+import { listenTcp } from './listen.js'
 import { createIntervalLog, runtimeEventNumbers } from './log.js'
 import { createRouterMetrics } from './metrics.js'
 import { createPeerLinks } from './peerClient.js'
+import { createPeerConnections, peerServerOptions } from './peerConnections.js'
 import { createPeerService } from './peerServer.js'
 import { startProgram } from './program.js'
 import { createReadTurns } from './readTurns.js'
@@ -155,9 +157,15 @@
     metrics.countClosedCaller(reason, server)
     logClosedCaller({ reason, server, ...closed })
   }
-  const peerServer = new Server({ 'grpc.max_receive_message_length': maxPeerMessageBytes })
+  const peerConnections = createPeerConnections({
+    timers,
+    limits: computePeerLimits(settings.router['memory-mb'], settings.router['max-descriptors']),
+    notifyClosed: (reason, closed) => notifyClosed('peers')(reason, { ...closed, requests: 0 })
+  })
+  const peerServer = new Server({ ...peerServerOptions, 'grpc.max_receive_message_length': maxPeerMessageBytes })
   const peerService = createPeerService({
     self: router,
+    watchMessages: peerConnections.watchMessages,
     timers,
     exchanges,
     post,
@@ -195,9 +203,9 @@
   }, credentials)
 
   const ports = await Promise.all([
-    listenHttp(callerServer.server, settings.router.listen),
-    listenGrpc(peerServer, settings.router['peer-listen'], credentials.server),
-    listenHttp(adminServer, settings.router['admin-listen'])
+    listenTcp(callerServer.server, settings.router.listen),
+    peerConnections.listen(peerServer, settings.router['peer-listen'], credentials.server),
+    listenTcp(adminServer, settings.router['admin-listen'])
   ])
   const closePorts = () => {
     callerServer.server.close()
@@ -205,6 +213,7 @@
     adminServer.close()
     adminServer.closeAllConnections()
     peerServer.forceShutdown()
+    peerConnections.close()
   }
   const failed = ports.find(port => port.kind === 'failed')
   if (failed?.kind === 'failed') {
--- a/src/standins/backendStandin.ts
+++ b/src/standins/backendStandin.ts
@@ -3,7 +3,7 @@
 import type { BackendEffect, BackendEvent, BackendFaults, BackendState, RunRecord } from './backendReducer.js'
 import { createServer } from 'node:http'
 import { decodeGrant, grantPath, headerNames, healthPath } from '../protocol/grantWire.js'
-import { listenHttp } from '../runtime/listen.js'
+import { listenTcp } from '../runtime/listen.js'
 import { startProgram } from '../runtime/program.js'
 import { buildBackendState, reduceBackend } from './backendReducer.js'
 
@@ -82,7 +82,7 @@
     }
     program.post({ kind: 'request', now: now(), wall: timers.clock.wall(), id, request: readRequest(request, options.workMs) })
   })
-  const port = await listenHttp(server, options.address)
+  const port = await listenTcp(server, options.address)
   if (port.kind === 'failed') return undefined
   return {
     name: options.name,
--- a/src/standins/controlServer.ts
+++ b/src/standins/controlServer.ts
@@ -4,7 +4,7 @@
 import type { StoreStandin } from './storeStandin.js'
 import { createServer } from 'node:http'
 import * as z from 'zod'
-import { listenHttp } from '../runtime/listen.js'
+import { listenTcp } from '../runtime/listen.js'
 
 /** Stand-ins into which faults can be injected. */
 export type ControlledStandins = {
@@ -36,7 +36,7 @@
       response.end(text)
     })
   })
-  const port = await listenHttp(server, address)
+  const port = await listenTcp(server, address)
   return port.kind === 'listening' ? port.address : undefined
 }
 
--- a/src/standins/hostListStandin.ts
+++ b/src/standins/hostListStandin.ts
@@ -1,7 +1,7 @@
 import type { HostStatus } from '../core/domain/hostList.js'
 import type { TimerService } from '../runtime/timerService.js'
 import { createServer } from 'node:http'
-import { listenHttp } from '../runtime/listen.js'
+import { listenTcp } from '../runtime/listen.js'
 
 /** A running host list stand-in: simulates the platform's list of hosts. */
 export type HostListStandin = {
@@ -21,7 +21,7 @@
     response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
     response.end(body)
   })
-  const port = await listenHttp(server, address)
+  const port = await listenTcp(server, address)
   if (port.kind === 'failed') return undefined
   return {
     url: `http://${port.address}/hosts`,
--- a/tests/peerStreams.spec.ts
+++ b/tests/peerStreams.spec.ts
@@ -61,7 +61,7 @@
   const reportedDown: string[] = []
   const exchanges: ExchangeTable = new Map()
   const refusals = new Map<string, Refusal>()
-  const service = createPeerService({ self: 'b', timers, exchanges, post: () => true, reportMalformedFrame: () => {} })
+  const service = createPeerService({ self: 'b', watchMessages: () => () => {}, timers, exchanges, post: () => true, reportMalformedFrame: () => {} })
   const server = new Server()
   server.addService(PeerService, service.service)
   const port = await new Promise<number>((resolve, reject) => {
--- a/tests/placementRequest.spec.ts
+++ b/tests/placementRequest.spec.ts
@@ -4,8 +4,10 @@
 import test from 'ava'
 import { buildNewerPlacement } from '../src/core/gateway/restoredStore.js'
 import { buildGatewayState } from '../src/core/gateway/state.js'
+import { computePeerLimits } from '../src/core/policy/peerBudget.js'
 import { systemClock } from '../src/runtime/clock.js'
 import { createFleetExchange } from '../src/runtime/gateway/fleetExchange.js'
+import { createPeerConnections } from '../src/runtime/peerConnections.js'
 import { createTimerService } from '../src/runtime/timerService.js'
 import { findPort, waitFor } from './support/platform/platformFleet.js'
 
@@ -19,6 +21,7 @@
   const events: GatewayEvent[] = []
   const create = (post: (event: GatewayEvent) => boolean) => createFleetExchange({
     credentials: { client: credentials.createInsecure(), server: ServerCredentials.createInsecure(), readPem: undefined },
+    connections: createPeerConnections({ timers, limits: computePeerLimits(350, 4096), notifyClosed: () => {} }),
     timers,
     post,
     buildLoadAnswer: () => undefined,
--- a/tests/relaySharing.spec.ts
+++ b/tests/relaySharing.spec.ts
@@ -9,9 +9,11 @@
 import { reduceGateway } from '../src/core/gateway/reduceGateway.js'
 import { buildGatewayRules } from '../src/core/gateway/rules.js'
 import { buildGatewayState } from '../src/core/gateway/state.js'
+import { computePeerLimits } from '../src/core/policy/peerBudget.js'
 import { systemClock } from '../src/runtime/clock.js'
 import { createSharedUpdates } from '../src/runtime/gateway/sharedUpdates.js'
 import { createFleetExchange } from '../src/runtime/gateway/fleetExchange.js'
+import { createPeerConnections } from '../src/runtime/peerConnections.js'
 import { createTimerService } from '../src/runtime/timerService.js'
 import { waitFor } from './support/platform/platformFleet.js'
 
@@ -19,9 +21,11 @@
 const view: FleetLoad = { hosts: 5, backends: [], renewals: [], storeAgeMs: 0, placement, storeRevision: 5 }
 
 function buildParts (parts: Partial<FleetExchangeParts>): FleetExchangeParts {
+  const timers = createTimerService(systemClock)
   return {
     credentials: { client: credentials.createInsecure(), server: ServerCredentials.createInsecure(), readPem: undefined },
-    timers: createTimerService(systemClock),
+    connections: createPeerConnections({ timers, limits: computePeerLimits(350, 4096), notifyClosed: () => {} }),
+    timers,
     post: () => true,
     buildLoadAnswer: () => view,
     listChangesSince: () => undefined,
