A burst of uploads no longer resets connections whose requests run

Cause: over the limit of held bytes, those connections went first that held most for each answer: the ones with complete bodies, of which a backend server already had a copy. Besides, what a connection holds was measured when bytes were read and each 100 ms, and a body ends after that, so that a request that had just been passed on still looked like one that is being read.

Change: bytes of a request that was passed on and has no answer yet don't count against its connection, and a connection that holds no more than 64 kB besides stays open up to 125 % of the limit. All connections are measured anew before some are chosen. Bodies that are still being read are refused first, with memory-short as before.

That uploads inside the limits are refused in such a burst stays: the limit is met. A higher one was not tried.

--- a/src/core/policy/memoryBudget.ts
+++ b/src/core/policy/memoryBudget.ts
@@ -6,8 +6,10 @@
 const reducedShare = 0.9
 /** Share of the limit from which on connections that hold much are read slowly. */
 const slowReadShare = 0.4
-/** Bytes of a connection from which on it may be read slowly: more than an ordinary request takes. */
-const slowReadBytes = 64 * 1024
+/** Bytes of a connection that an ordinary request without its body and answer does not exceed. */
+const ordinaryBytes = 64 * 1024
+/** Multiple of the limit up to which connections that hold no more than that besides requests that were passed on stay open. */
+const committedShare = 1.25
 /** Share of the limit up to which answers are read ahead of callers that read them slowly. */
 const readAheadShare = 0.5
 /** Largest part of the limit that one connection may hold before no more is read from it. */
@@ -85,20 +87,24 @@
   return payloadBytes + Math.max(0, receivedBytes - payloadBytes) * bytesPerFramingByte
 }
 
-/** What a connection holds. `answers`: answers that its caller has had; `openedAt`: milliseconds. */
-export type Holding = { heldBytes: number, answers: number, openedAt: number }
+/** What a connection holds. `answers`: answers that its caller has had; `openedAt`: milliseconds; `committedBytes`: the part that is for requests which were passed on and have no answer yet, 0 if absent. */
+export type Holding = { heldBytes: number, answers: number, openedAt: number, committedBytes?: number }
 
 /**
  * Chooses the connections to close when more than the limit is held, under a crowd of callers that send much and read little:
- * those that hold most for each answer that they have had, until what is left is below the limit with a margin.
+ * those that hold most for each answer that they have had, until what is left is below the limit with a margin. Closing a connection
+ * loses its requests that were passed on, so that their bytes don't count against it, and connections that hold little besides
+ * are only closed far over the limit. These bytes don't grow: over the limit, bodies that are still being read are refused.
  */
 export function chooseExcessHoldings<Item extends Holding> (holdings: readonly Item[], totalBytes: number, limits: Pick<HeldLimits, 'heldBytes'>): Item[] {
   if (totalBytes <= limits.heldBytes) return []
-  const rank = (each: Item) => each.heldBytes / (1 + each.answers)
+  const countFreeBytes = (each: Item) => each.heldBytes - (each.committedBytes ?? 0)
+  const rank = (each: Item) => countFreeBytes(each) / (1 + each.answers)
   const chosen: Item[] = []
   let left = totalBytes
   for (const each of [...holdings].sort((a, b) => rank(b) - rank(a))) {
     if (left <= limits.heldBytes * reducedShare) return chosen
+    if (countFreeBytes(each) <= ordinaryBytes && left <= limits.heldBytes * committedShare) continue
     chosen.push(each)
     left -= each.heldBytes
   }
@@ -125,7 +131,7 @@
  * refused at once leaves memory behind faster than it is collected.
  */
 export function isReadSlowly (connectionBytes: number, totalBytes: number, limits: HeldLimits): boolean {
-  return connectionBytes > slowReadBytes && totalBytes > limits.heldBytes * slowReadShare
+  return connectionBytes > ordinaryBytes && totalBytes > limits.heldBytes * slowReadShare
 }
 
 /** Returns whether an answer is read on although its caller has not read the bytes before; within these bounds a slow caller does not slow down a backend server. */
--- a/src/runtime/bodilessRequests.ts
+++ b/src/runtime/bodilessRequests.ts
@@ -17,6 +17,7 @@
     abandon: () => {},
     isIdempotent: () => false,
     countHeldBytes: () => 0,
+    countCommittedBytes: () => 0,
     refuse: () => false
   })
 }
--- a/src/runtime/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -44,6 +44,8 @@
   isIdempotent: () => boolean
   /** Returns the bytes held for the request besides its head and what its streams buffer. */
   countHeldBytes: () => number
+  /** Returns the part of them that is for a request which was passed on and has no answer yet. */
+  countCommittedBytes: () => number
   /** Refuses the request because memory or processor time is short, if it has not been passed on; returns whether it did. */
   refuse: (reason: ShortageReason) => boolean
 }
@@ -87,6 +89,7 @@
 
 type Entry = { request: IncomingMessage, response: ServerResponse, queued: QueuedRequest, headBytes: number, readAt: number, isStarted: boolean, isCut: boolean, isIdempotent: () => boolean }
 type Connection = Holding & {
+  committedBytes: number
   socket: Socket
   reading: CallerReading
   entries: Entry[]
@@ -146,16 +149,22 @@
     heldBytes += bytes - connection.heldBytes
     connection.heldBytes = bytes
   }
+  const measure = (connection: Connection) => {
+    setHeld(connection, countConnectionBytes(connection))
+    connection.committedBytes = connection.entries.reduce((sum, { queued }) => sum + queued.countCommittedBytes(), 0)
+  }
   const shed = () => {
     if (isShedding || heldBytes <= limits.heldBytes) return
     isShedding = true
     const open = [...connections.values()].filter(connection => !connection.isClosed)
+    // A request may have been passed on since its connection was measured.
+    open.forEach(measure)
     for (const connection of chooseExcessHoldings(open, heldBytes, limits)) closeExcess(connection, 'memory')
     isShedding = false
   }
   const updateHeld = (connection: Connection) => {
     if (connection.isClosed || !connections.has(connection.socket)) return
-    setHeld(connection, countConnectionBytes(connection))
+    measure(connection)
     if (connection.isAnswering || connection.heldBytes > connectionBytes) scheduleMeasuring()
     shed()
   }
@@ -206,7 +215,7 @@
     })
     const now = clock.now()
     const connection: Connection = {
-      socket, reading, entries: [], answers: 0, heldBytes: 0, openedAt: now, isAnswering: false, isUsed: false, isEnding: false, isClosed: false, isReadDue: false, unwritten: '', writtenAt: now
+      socket, reading, entries: [], answers: 0, heldBytes: 0, committedBytes: 0, openedAt: now, isAnswering: false, isUsed: false, isEnding: false, isClosed: false, isReadDue: false, unwritten: '', writtenAt: now
     }
     const excess = connections.size >= limits.connections ? chooseExcessConnection(connections.values()) : undefined
     connections.set(socket, connection)
--- a/src/runtime/callerServer.ts
+++ b/src/runtime/callerServer.ts
@@ -112,6 +112,7 @@
     abandon: () => {},
     isIdempotent: () => true,
     countHeldBytes: () => 0,
+    countCommittedBytes: () => 0,
     refuse: () => false
   })
 }
@@ -133,6 +134,7 @@
     abandon: () => dropCall(call, context.options),
     isIdempotent: () => context.options.isIdempotent(buildCallerRequest(call, false)),
     countHeldBytes: () => call.body.countHeldBytes() + (call.exchange?.bodyStart.length ?? 0),
+    countCommittedBytes: () => response.headersSent ? 0 : call.exchange?.bodyStart.length ?? 0,
     refuse: reason => {
       if (call.exchange !== undefined || response.headersSent) return false
       context.options.countRefusal(reason)
--- a/src/runtime/gateway/callerServer.ts
+++ b/src/runtime/gateway/callerServer.ts
@@ -105,7 +105,7 @@
 type AcceptContext = { maxBodyBytes: number, maxHeaderBytes: number, isClosing: () => boolean, connections: CallerConnections, hasUnknownExpectation?: boolean }
 
 /** A request that was accepted: `abandon` ends it when its connection closes, `refuse` while its body is being read. */
-type AcceptedCaller = { abandon: () => void, refuse: QueuedRequest['refuse'], countHeldBytes: () => number }
+type AcceptedCaller = { abandon: () => void, refuse: QueuedRequest['refuse'], countHeldBytes: () => number, countCommittedBytes: () => number }
 
 function queueCaller (id: string, request: IncomingMessage, response: ServerResponse, options: CallerServerOptions, context: AcceptContext): void {
   let accepted: AcceptedCaller | undefined
@@ -124,6 +124,7 @@
       return options.isIdempotent(formatHost(target.host), target.path)
     },
     countHeldBytes: () => accepted?.countHeldBytes() ?? 0,
+    countCommittedBytes: () => accepted?.countCommittedBytes() ?? 0,
     refuse: reason => accepted?.refuse(reason) ?? false
   })
 }
@@ -163,7 +164,8 @@
       refuseCall(call, reason, options, context)
       return true
     },
-    countHeldBytes: () => body.countHeldBytes() + exchange.first.length + (exchange.sendAttempt?.heldBytes ?? 0)
+    countHeldBytes: () => body.countHeldBytes() + exchange.first.length + (exchange.sendAttempt?.heldBytes ?? 0),
+    countCommittedBytes: () => call.isPosted && !exchange.isAnswered ? exchange.first.length : 0
   }
 }
 
--- a/tests/callerLimits.spec.ts
+++ b/tests/callerLimits.spec.ts
@@ -31,6 +31,7 @@
       abandon: () => {},
       isIdempotent: () => true,
       countHeldBytes: () => 0,
+      countCommittedBytes: () => 0,
       refuse: () => false
     })
   })
--- a/tests/memoryBudget.spec.ts
+++ b/tests/memoryBudget.spec.ts
@@ -28,6 +28,23 @@
   t.deepEqual(chooseExcessHoldings(holdings, limits.heldBytes + 8_000_000, limits).map(each => each.name), ['hoarder', 'second'])
 })
 
+test('over the limit, connections whose requests were passed on stay open while bodies are read that can be refused', t => {
+  const build = (name: string, heldBytes: number, committedBytes: number) => ({ name, heldBytes, committedBytes, answers: 1, openedAt: 0 })
+  const passedOn = Array.from({ length: 50 }, (_, index) => build(`passed on ${index}`, 376_000, 360_000))
+  const reading = Array.from({ length: 20 }, (_, index) => build(`reading ${index}`, 300_000, 0))
+  const others = Array.from({ length: 20 }, (_, index) => build(`other ${index}`, 14_000, 0))
+  const holdings = [...passedOn, ...reading, ...others]
+  const chosen = chooseExcessHoldings(holdings, holdings.reduce((sum, each) => sum + each.heldBytes, 0), limits)
+  t.true(chosen.length > 0 && chosen.every(({ name }) => name.startsWith('reading')), chosen.map(({ name }) => name).join())
+  t.deepEqual(chooseExcessHoldings(passedOn, limits.heldBytes * 1.2, limits), [])
+})
+
+test('far over the limit, connections are closed although their requests were passed on', t => {
+  const holdings = Array.from({ length: 100 }, () => ({ heldBytes: 376_000, committedBytes: 360_000, answers: 1, openedAt: 0 }))
+  const left = 37_600_000 - chooseExcessHoldings(holdings, 37_600_000, limits).length * 376_000
+  t.true(left <= limits.heldBytes * 1.25 && left > limits.heldBytes)
+})
+
 test('what is left after closing is within the limit, whatever the connections hold', t => {
   const holding = fc.record({ heldBytes: fc.nat({ max: 4_000_000 }), answers: fc.nat({ max: 100 }), openedAt: fc.nat() })
   fc.assert(fc.property(fc.array(holding, { maxLength: 60 }), holdings => {
