--- a/src/runtime/callerConnections.ts
+++ b/src/runtime/callerConnections.ts
@@ -1,15 +1,17 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { RefusalReason } from '../core/domain/outcome.js'
 import type { HeldLimits, Holding } from '../core/policy/memoryBudget.js'
 import type { CallerReading } from './callerReading.js'
+import type { CallerCloseReason, ShortageReason } from './closeReasons.js'
 import type { ReadTurns } from './readTurns.js'
 import type { TimerService } from './timerService.js'
 import { Server as TcpServer } from 'node:net'
-import { TLSSocket } from 'node:tls'
 import { chooseExcessConnection, chooseExcessHoldings, computeRequestBytes, computeUnreadBodyBytes, connectionBytes, isReadAhead, isReadSlowly } from '../core/policy/memoryBudget.js'
 import { countRunnable, maxRequestsAhead } from '../core/policy/sentAhead.js'
 import { readCaller } from './callerReading.js'
+import { shortageByCloseReason } from './closeReasons.js'
+import { countHeadCharacters } from './messageHead.js'
+import { resetSocket } from './resetSocket.js'
 
 /** Time for which a new connection may still send its first request after closing has begun, in milliseconds: a round trip between regions and some processor time. */
 const firstRequestGraceMs = 150
@@ -18,22 +20,6 @@
 /** Time after which a connection is closed when its caller reads nothing of an answer, in milliseconds: longer than the longest deadlines of callers that wait for the answer. */
 const unreadTimeoutMs = 20_000
 
-/** Reasons for which connections of callers are closed; each is a label value of a counter. */
-export const callerCloseReasons = ['ahead', 'connections', 'memory', 'processor', 'unread'] as const
-/** `ahead`: more requests sent ahead than are read; `connections`: too many connections; `memory`: too much held for callers; `processor`: parsing its bytes held up others; `unread`: nothing of an answer was read for long. */
-export type CallerCloseReason = typeof callerCloseReasons[number]
-
-/** Reason with which a request is refused when its connection is closed, where that can be told. */
-const shortageByCloseReason: Partial<Record<CallerCloseReason, ShortageReason>> = { memory: 'memory-short', processor: 'processor-short' }
-
-/** Servers of a process that have clients of their own; each is a label value of a counter. */
-export const callerServerNames = ['callers', 'probes', 'admin', 'peers'] as const
-/** `callers`: requests for backend servers; `probes`: readiness probes of load balancers; `admin`: operators and collectors of metrics; `peers`: other processes of the system. */
-export type CallerServerName = typeof callerServerNames[number]
-
-/** Reasons for which a request that is being read is refused. */
-export type ShortageReason = Extract<RefusalReason, 'memory-short' | 'processor-short'>
-
 /** A request as its connection handles it. */
 export type QueuedRequest = {
   /** Accepts the request; `waitedMs` is the time since its head was read, in milliseconds. */
@@ -267,7 +253,7 @@
         return
       }
       connection.reading.setRequest(request)
-      const entry: Entry = { request, response, queued, headBytes: computeRequestBytes(countCharacters(request)), readAt: clock.now(), isStarted: false, isCut: false, isIdempotent: queued.isIdempotent }
+      const entry: Entry = { request, response, queued, headBytes: computeRequestBytes(countHeadCharacters(request)), readAt: clock.now(), isStarted: false, isCut: false, isIdempotent: queued.isIdempotent }
       connection.entries.push(entry)
       connection.isAnswering = true
       connection.isUsed = true
@@ -332,19 +318,6 @@
   }
 }
 
-/** Closes a connection so that its caller sees an error instead of an end. */
-function resetSocket (socket: Socket): void {
-  // Node.js resets only plain sockets; the end of a TLS connection without its closing message is an error to the peer.
-  if (socket instanceof TLSSocket) socket.destroy()
-  else socket.resetAndDestroy()
-}
-
-function countCharacters (request: IncomingMessage): number {
-  let characters = (request.url ?? '').length
-  for (const text of request.rawHeaders) characters += text.length
-  return characters
-}
-
 /** Counts the bytes of answers that are written and that the caller has not read. */
 function countUnreadBytes (connection: Connection): number {
   let bytes = 0
--- a/src/runtime/gateway/gatewayMetrics.ts
+++ b/src/runtime/gateway/gatewayMetrics.ts
@@ -1,13 +1,13 @@
 import type { ChangeKind } from '../../core/gateway/changeLags.js'
 import type { GatewayEffect } from '../../core/gateway/effects.js'
 import type { GatewayEvent } from '../../core/gateway/events.js'
-import type { CallerCloseReason, CallerServerName } from '../callerConnections.js'
+import type { CallerCloseReason, CallerServerName } from '../closeReasons.js'
 import type { StoreCallReason } from './storeCallCounts.js'
 import type { RefusalReason, RetryReason } from '../../core/domain/outcome.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { changeLagBoundsMs } from '../../core/gateway/changeLags.js'
 import { refusalReasons, retryReasons } from '../../core/domain/outcome.js'
-import { callerCloseReasons, callerServerNames } from '../callerConnections.js'
+import { callerCloseReasons, callerServerNames } from '../closeReasons.js'
 import { storeCallReasons } from './storeCallCounts.js'
 
 /** Bounds of the latency histogram, in milliseconds: closely spaced around the latency targets of lookups and bookings. */
--- a/src/runtime/messageHead.ts
+++ b/src/runtime/messageHead.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from 'node:http'
+
 /** Characters of a header name, as RFC 9110 defines a token. */
 const headerNamePattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/
 /** Characters of a header value: visible ones, blanks, tabs, and bytes above 0x7f. */
@@ -22,3 +24,10 @@
 export function isFinalStatus (status: number): boolean {
   return status >= minFinalStatus && status <= maxStatus
 }
+
+/** Counts the characters of a request's target and headers. */
+export function countHeadCharacters (request: IncomingMessage): number {
+  let characters = (request.url ?? '').length
+  for (const text of request.rawHeaders) characters += text.length
+  return characters
+}
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -1,9 +1,9 @@
 import type { RouterCount } from '../core/router/routerEffects.js'
 import type { Rank } from '../core/domain/rank.js'
-import type { CallerCloseReason, CallerServerName } from './callerConnections.js'
+import type { CallerCloseReason, CallerServerName } from './closeReasons.js'
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import { refusalReasons, retryReasons } from '../core/domain/outcome.js'
-import { callerCloseReasons, callerServerNames } from './callerConnections.js'
+import { callerCloseReasons, callerServerNames } from './closeReasons.js'
 
 /** Bucket bounds of the latency histogram, in milliseconds. */
 const latencyBoundsMs = [1, 2, 5, 10, 15, 25, 50, 100, 250, 500, 1000, 2500, 5000, 30_000]
--- a/src/runtime/peerConnections.ts
+++ b/src/runtime/peerConnections.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import type { Holding } from '../core/policy/memoryBudget.js'
 import type { PeerLimits } from '../core/policy/peerBudget.js'
-import type { CallerCloseReason } from './callerConnections.js'
+import type { CallerCloseReason } from './closeReasons.js'
 import type { ListenOutcome } from './listen.js'
 import type { TimerService } from './timerService.js'
 import { createServer } from 'node:net'
--- a/tests/callerLimits.spec.ts
+++ b/tests/callerLimits.spec.ts
@@ -1,4 +1,4 @@
-import type { CallerCloseReason } from '../src/runtime/callerConnections.js'
+import type { CallerCloseReason } from '../src/runtime/closeReasons.js'
 import type { HeldLimits } from '../src/core/policy/memoryBudget.js'
 import test from 'ava'
 import { createServer } from 'node:http'
