--- a/src/runtime/gateway/gatewayProgram.ts
+++ b/src/runtime/gateway/gatewayProgram.ts
@@ -160,7 +160,7 @@
     connections: createPeerConnections({
       timers,
       limits: computePeerLimits(gateway['memory-mb'], gateway['max-descriptors']),
-      notifyClosed: (reason, closed) => notifyClosed('peers')(reason, { ...closed, requests: 0 })
+      notifyClosed: notifyClosed('peers')
     }),
     timers,
     post,
--- a/src/runtime/peerConnections.ts
+++ b/src/runtime/peerConnections.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import type { Holding } from '../core/policy/memoryBudget.js'
 import type { PeerLimits } from '../core/policy/peerBudget.js'
-import type { CallerCloseReason } from './closeReasons.js'
+import type { CallerConnectionsOptions } from './callerConnections.js'
 import type { ListenOutcome } from './listen.js'
 import type { TimerService } from './timerService.js'
 import { createServer } from 'node:net'
@@ -16,11 +16,11 @@
 /** Options that every gRPC server of the system has. */
 export const peerServerOptions: ServerOptions = { 'grpc.max_concurrent_streams': maxPeerStreams }
 
-/** Options of the connections of a gRPC server. `notifyClosed` is called when one is closed because of a limit. */
+/** Options of the connections of a gRPC server. `notifyClosed` is called when one is closed because of a limit; its requests are not counted. */
 export type PeerConnectionsOptions = {
   timers: TimerService
   limits: PeerLimits
-  notifyClosed: (reason: Extract<CallerCloseReason, 'connections' | 'memory'>, closed: { heldBytes: number, answers: number }) => void
+  notifyClosed: CallerConnectionsOptions['notifyClosed']
 }
 
 /** Connections that other processes open to a gRPC server. */
@@ -44,7 +44,7 @@
   const listener = createServer()
   let stopMeasuring: (() => void) | undefined
   const closeConnection = (connection: Connection, reason: 'connections' | 'memory') => {
-    notifyClosed(reason, { heldBytes: connection.heldBytes, answers: connection.answers })
+    notifyClosed(reason, { heldBytes: connection.heldBytes, requests: 0, answers: connection.answers })
     // A socket that an HTTP/2 session uses is closed by a reset only.
     connection.socket.resetAndDestroy()
   }
--- a/src/runtime/routerProgram.ts
+++ b/src/runtime/routerProgram.ts
@@ -161,7 +161,7 @@
   const peerConnections = createPeerConnections({
     timers,
     limits: computePeerLimits(settings.router['memory-mb'], settings.router['max-descriptors']),
-    notifyClosed: (reason, closed) => notifyClosed('peers')(reason, { ...closed, requests: 0 })
+    notifyClosed: notifyClosed('peers')
   })
   const peerServer = new Server({ ...peerServerOptions, 'grpc.max_receive_message_length': maxPeerMessageBytes })
   const peerService = createPeerService({
