--- a/src/runtime/closeReasons.ts
+++ b/src/runtime/closeReasons.ts
@@ -13,5 +13,5 @@
 /** Reasons for which a request that is being read is refused. */
 export type ShortageReason = Extract<RefusalReason, 'memory-short' | 'processor-short'>
 
-/** Reason with which a request is refused when its connection is closed, where that can be told. */
+/** Reason with which a request is refused when its connection is closed; other closings promise nothing about their requests. */
 export const shortageByCloseReason: Partial<Record<CallerCloseReason, ShortageReason>> = { memory: 'memory-short', processor: 'processor-short' }
--- a/tests/support/platform/platformFleet.ts
+++ b/tests/support/platform/platformFleet.ts
@@ -5,6 +5,7 @@
 import type { GrantBackend } from './grantBackend.js'
 import type { KvStandin } from './kvStandin.js'
 import { Agent, request as openRequest } from 'node:http'
+import { createServer } from 'node:net'
 import { createKvStore } from '../../../platform/kvStore.js'
 import { platformWire } from '../../../platform/platformWire.js'
 import { buildGatewayRules } from '../../../src/core/gateway/rules.js'
@@ -160,10 +161,20 @@
 }
 
 let nextPort = 21_000 + (process.pid % 400) * 20
-/** Returns a port that this process has not returned before, from a range that depends on the process id. */
+/** Returns a free port that this process has not returned before, from a range that depends on the process id. */
 export async function findPort (): Promise<number> {
   nextPort += 1
-  return nextPort
+  const port = nextPort
+  return await isPortFree(port) ? port : await findPort()
+}
+
+/** Returns whether no process listens on a port of the loopback interface. */
+async function isPortFree (port: number): Promise<boolean> {
+  const server = createServer()
+  return await new Promise(resolve => {
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
 }
 
 /** Waits until a condition holds; throws when it does not hold within `timeoutMs`. */
